--- /dev/null
+++ b/control/src/main/java/org/flamingochute/control/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.flamingochute.control;
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
@@ -0,0 +1,79 @@
+package org.flamingochute.decision.error;
+
+/**
+ * Every error that a user of the system can see, with its code and message template.
+ *
+ * <p>The code is stable and documented in docs/ERRORS.md. The template takes its arguments in
+ * order, as {@code %s}. Codes are grouped by the part of the system that reports them.
+ */
+public enum ErrorCode {
+  // Settings files and fleet descriptions: 1000 to 1099.
+  SETTINGS_UNREADABLE(1000, "%s: cannot be read: %s"),
+  SETTINGS_UNKNOWN_SECTION(1001, "%s: section [%s]: unknown section"),
+  SETTINGS_UNKNOWN_KEY(1002, "%s: section [%s]: unknown key \"%s\" with value \"%s\""),
+  SETTINGS_WRONG_TYPE(1003, "%s: section [%s]: key \"%s\": value \"%s\" is not %s"),
+  SETTINGS_OUT_OF_RANGE(
+      1004, "%s: section [%s]: key \"%s\": value \"%s\" is not between %s and %s %s"),
+  SETTINGS_MISSING_KEY(1005, "%s: section [%s]: required key \"%s\" is missing"),
+  SETTINGS_BAD_PATTERN(1006, "%s: section [%s]: key \"%s\": value \"%s\" does not match %s"),
+  SETTINGS_MISSING_SECTION(1007, "%s: required section [%s] is missing"),
+  SETTINGS_REPEATED(1008, "%s: section [%s]: \"%s\" is given twice"),
+
+  // Fleet descriptions, patches and the fold: 1100 to 1199.
+  PATCH_STALE_BASE(1100, "patch %s is against version %s, but version %s is in force"),
+  PATCH_EMPTY(1101, "patch %s changes nothing"),
+  FLEET_INVALID(1102, "fleet description: section [%s]: key \"%s\": value \"%s\": %s"),
+  RECORD_FUTURE_FORMAT(1103, "record at offset %s has format version %s, newer than %s"),
+  RECORD_UNREADABLE(1104, "record at offset %s cannot be read: %s"),
+  NOT_A_MEMBER(1105, "incarnation %s is not a member"),
+  BUDGET_EXCEEDED(1106, "stopping %s would leave %s available in pool %s, below its minimum of %s"),
+  DOMAIN_LIMIT(
+      1107, "stopping %s would stop instances in %s failure domains of pool %s, more than %s"),
+  INSTANCE_UNKNOWN(1108, "instance %s is not known"),
+  INSTANCE_WRONG_POOL(1109, "instance %s belongs to pool %s, not to pool %s"),
+  INSTANCE_BUSY(1110, "instance %s is already stopped by operation %s"),
+  OPERATION_UNKNOWN(1111, "operation %s is not under way for instance %s"),
+  CLAIM_TAKEN(1112, "idempotency key %s of team %s is claimed by %s"),
+  CLAIM_OTHER_REQUEST(1113, "idempotency key %s of team %s was used for another request"),
+  JOB_UNKNOWN(1114, "job %s is not known"),
+  JOB_WRONG_PHASE(1115, "job %s is %s"),
+  PLACER_STALE(1116, "placer epoch %s of pool %s is over, epoch %s holds"),
+  ESCROW_STALE(1117, "escrow epoch %s of team %s is over, epoch %s holds"),
+
+  // Requests and jobs at an entry: 1200 to 1299.
+  KEY_MISSING(1200, "service %s needs a team's key"),
+  KEY_UNKNOWN(1201, "the key is not granted to any team"),
+  SERVICE_UNKNOWN(1202, "service %s is not part of the fleet description"),
+  ENTRY_NOT_FRESH(1203, "this entry has neither read the log nor heard most peers for %s ms"),
+  ENTRY_STOPPING(1204, "this entry is stopping"),
+  QUEUE_FULL(1205, "%s requests already wait for service %s"),
+  DEADLINE_PASSED(1206, "the deadline passed after %s ms, before the request was dispatched"),
+  CAP_REACHED(1207, "team %s has reached its cap of %s running"),
+  NO_ENDPOINT(1208, "no endpoint of service %s can take the request: %s"),
+  OUTCOME_UNKNOWN(1209, "the request may have run: %s"),
+  LOG_UNAVAILABLE(1210, "the platform's log cannot be reached: %s"),
+  POOL_UNKNOWN(1211, "pool %s is not part of the fleet description"),
+  REQUEST_MALFORMED(1212, "%s: value \"%s\": %s"),
+  BODY_TOO_LARGE(1213, "the body has more than %s bytes"),
+  OPERATOR_UNKNOWN(1214, "operator %s is not known or the key is wrong"),
+  OPERATOR_NOT_ALLOWED(1215, "operator %s may not patch the description"),
+  ;
+
+  private final int number;
+  private final String template;
+
+  ErrorCode(int number, String template) {
+    this.number = number;
+    this.template = template;
+  }
+
+  /** Returns the stable number of the error. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns the message template with {@code %s} for each argument. */
+  public String template() {
+    return template;
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/identity/IdempotencyKey.java
@@ -0,0 +1,24 @@
+package org.flamingochute.decision.identity;
+
+/**
+ * Identifies a request whose repetition must not run again.
+ *
+ * @param value the text form, between 1 and {@value Identifiers#MAXIMUM_LENGTH} characters
+ */
+public record IdempotencyKey(String value) implements Comparable<IdempotencyKey> {
+
+  /** Checks the text form. */
+  public IdempotencyKey {
+    Identifiers.requireValid("idempotency key", value);
+  }
+
+  @Override
+  public int compareTo(IdempotencyKey other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/identity/Identifiers.java
@@ -0,0 +1,36 @@
+package org.flamingochute.decision.identity;
+
+/** Checks the text form of identifiers. */
+public final class Identifiers {
+
+  /** Longest identifier in characters. */
+  public static final int MAXIMUM_LENGTH = 200;
+
+  private Identifiers() {}
+
+  /**
+   * Checks that a value can serve as an identifier.
+   *
+   * @param label what the identifier names, for the message
+   * @param value the text form
+   * @throws IllegalArgumentException when the value is empty, too long or holds a control character
+   */
+  static void requireValid(String label, String value) {
+    if (!isValid(value)) {
+      throw new IllegalArgumentException("invalid " + label + " identifier: \"" + value + "\"");
+    }
+  }
+
+  /** Tells whether a value can serve as an identifier. */
+  public static boolean isValid(String value) {
+    if (value == null || value.isEmpty() || value.length() > MAXIMUM_LENGTH) {
+      return false;
+    }
+    for (int i = 0; i < value.length(); i++) {
+      if (Character.isISOControl(value.charAt(i))) {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/identity/RecordId.java
@@ -0,0 +1,24 @@
+package org.flamingochute.decision.identity;
+
+/**
+ * Identifies a log record; a second copy folds to nothing.
+ *
+ * @param value the text form, between 1 and {@value Identifiers#MAXIMUM_LENGTH} characters
+ */
+public record RecordId(String value) implements Comparable<RecordId> {
+
+  /** Checks the text form. */
+  public RecordId {
+    Identifiers.requireValid("record", value);
+  }
+
+  @Override
+  public int compareTo(RecordId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/identity/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for identifiers. */
+package org.flamingochute.decision.identity;
--- /dev/null
+++ b/engine/src/main/java/org/flamingochute/engine/package-info.java
@@ -0,0 +1,2 @@
+/** The entry node without sockets. */
+package org.flamingochute.engine;
--- /dev/null
+++ b/entry/src/main/java/org/flamingochute/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry process. */
+package org.flamingochute.entry;
--- /dev/null
+++ b/experiment/src/main/java/org/flamingochute/experiment/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments with the decision code. */
+package org.flamingochute.experiment;
--- /dev/null
+++ b/load/src/main/java/org/flamingochute/load/package-info.java
@@ -0,0 +1,2 @@
+/** The load tool. */
+package org.flamingochute.load;
--- /dev/null
+++ b/standin/src/main/java/org/flamingochute/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform. */
+package org.flamingochute.standin;
