Read and write settings by the schema

Cause: every process and the fleet description need INI text checked against the schema, with all errors at once. The INI library's maps keep the last of two equal keys, so its parser events are read instead.

--- a/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
+++ b/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
@@ -18,6 +18,7 @@
   SETTINGS_BAD_PATTERN(1006, "%s: section [%s]: key \"%s\": value \"%s\" does not match %s"),
   SETTINGS_MISSING_SECTION(1007, "%s: required section [%s] is missing"),
   SETTINGS_REPEATED(1008, "%s: section [%s]: \"%s\" is given twice"),
+  SETTINGS_BAD_NAME(1009, "%s: section [%s]: name \"%s\" does not match %s"),
 
   // Fleet descriptions, patches and the fold: 1100 to 1199.
   PATCH_STALE_BASE(1100, "patch %s is against version %s, but version %s is in force"),
@@ -39,6 +40,19 @@
   JOB_WRONG_PHASE(1115, "job %s is %s"),
   PLACER_STALE(1116, "placer epoch %s of pool %s is over, epoch %s holds"),
   ESCROW_STALE(1117, "escrow epoch %s of team %s is over, epoch %s holds"),
+  TEAM_UNKNOWN(1118, "team %s is not part of the fleet description"),
+  POOL_UNSUITABLE(1119, "pool %s cannot take it: %s"),
+  WAVE_HALTED(1120, "wave %s takes no step: %s"),
+  JOB_EXISTS(1121, "job %s exists already"),
+  JOB_KEY_USED(1122, "idempotency key %s of team %s belongs to job %s"),
+  WORKER_UNSUITABLE(1123, "worker %s cannot take job %s: %s"),
+  STEP_OUT_OF_ORDER(1124, "operation %s cannot take step %s after %s"),
+  RECORD_FIELD(1125, "record at offset %s: field %s: value \"%s\": %s"),
+  CLAIM_UNKNOWN(1126, "idempotency key %s of team %s is not claimed by %s"),
+  STATEMENT_NOT_DUE(1127, "no statement of holdings of %s is due"),
+  SNAPSHOT_REFUSED(1128, "snapshot part at offset %s: %s"),
+  MEMBER_EXISTS(1129, "incarnation %s has joined before"),
+  ESCROW_SUSPENDED(1130, "team %s starts nothing until its lower cap is settled"),
 
   // Requests and jobs at an entry: 1200 to 1299.
   KEY_MISSING(1200, "service %s needs a team's key"),
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/settings/SettingEntry.java
@@ -0,0 +1,9 @@
+package org.flamingochute.decision.settings;
+
+/**
+ * One line of a section.
+ *
+ * @param key the text before the equals sign
+ * @param value the text after it, without surrounding white space
+ */
+public record SettingEntry(String key, String value) {}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/settings/SettingsSection.java
@@ -0,0 +1,17 @@
+package org.flamingochute.decision.settings;
+
+import java.util.List;
+
+/**
+ * One section of an INI text.
+ *
+ * @param name the section's name
+ * @param entries the lines, in the order of the text; no key is repeated
+ */
+public record SettingsSection(SectionName name, List<SettingEntry> entries) {
+
+  /** Copies the entries. */
+  public SettingsSection {
+    entries = List.copyOf(entries);
+  }
+}
