--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/fleet/FleetDescriptionFormatter.java
@@ -0,0 +1,13 @@
+package org.flamingochute.decision.fleet;
+
+import org.flamingochute.decision.settings.SettingsWriter;
+import org.flamingochute.schema.FleetDescription;
+
+/** Writes a fleet description as canonical INI text, without its version. */
+public final class FleetDescriptionFormatter {
+
+  /** Returns the text; equal descriptions give equal texts. */
+  public String format(FleetDescription description) {
+    return SettingsWriter.write(description);
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/fleet/FleetDescriptionValidator.java
@@ -0,0 +1,37 @@
+package org.flamingochute.decision.fleet;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import org.flamingochute.decision.error.ErrorReport;
+import org.flamingochute.schema.FleetDescription;
+
+/** Checks the cross references of a fleet description with one rule object for each rule. */
+public final class FleetDescriptionValidator {
+
+  private static final List<FleetRule> RULES =
+      List.of(
+          new SparePoolExists(),
+          new AvailabilityWithinSize(),
+          new ServicePoolServesRequests(),
+          new ConnectionsCoverSlots(),
+          new OpenServiceHasTeam(),
+          new KeyTeamExists(),
+          new DigestsDiffer(),
+          new InstancePoolExists(),
+          new WavePoolsExist(),
+          new OperatorNameNotReserved(),
+          new PatchOperatorExists());
+
+  /** Returns the description itself, or everything that is wrong with it. */
+  public Either<List<ErrorReport>, FleetDescription> validate(FleetDescription description) {
+    List<ErrorReport> errors = new ArrayList<>();
+    for (FleetRule rule : RULES) {
+      rule.check(description, errors::add);
+    }
+    if (!errors.isEmpty()) {
+      return Either.left(List.copyOf(errors));
+    }
+    return Either.right(description);
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/fleet/InstancePoolExists.java
@@ -0,0 +1,22 @@
+package org.flamingochute.decision.fleet;
+
+import org.flamingochute.decision.error.ErrorReporter;
+import org.flamingochute.schema.FleetDescription;
+
+/** An instance can be placed only in a pool that exists. */
+final class InstancePoolExists implements FleetRule {
+
+  @Override
+  public void check(FleetDescription description, ErrorReporter errors) {
+    description
+        .getInstancesMap()
+        .forEach(
+            (name, instance) -> {
+              if (!description.containsPools(instance.getPool())) {
+                errors.report(
+                    FleetRule.invalid(
+                        "instance", name, "pool", instance.getPool(), "no such pool"));
+              }
+            });
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/fleet/PatchOperatorExists.java
@@ -0,0 +1,21 @@
+package org.flamingochute.decision.fleet;
+
+import org.flamingochute.decision.error.ErrorReporter;
+import org.flamingochute.schema.FleetDescription;
+import org.flamingochute.schema.OperatorSection;
+
+/** At least one operator must be able to patch the description again. */
+final class PatchOperatorExists implements FleetRule {
+
+  @Override
+  public void check(FleetDescription description, ErrorReporter errors) {
+    for (OperatorSection operator : description.getOperatorsMap().values()) {
+      if (operator.getRights().equals(OperatorRights.PATCH)) {
+        return;
+      }
+    }
+    errors.report(
+        FleetRule.invalid(
+            "operator", "", "rights", "", "at least one operator needs the right to patch"));
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/fleet/SparePoolExists.java
@@ -0,0 +1,16 @@
+package org.flamingochute.decision.fleet;
+
+import org.flamingochute.decision.error.ErrorReporter;
+import org.flamingochute.schema.FleetDescription;
+
+/** The spare pool, when one is named, must be a pool. */
+final class SparePoolExists implements FleetRule {
+
+  @Override
+  public void check(FleetDescription description, ErrorReporter errors) {
+    String spare = description.getFleet().getSparePool();
+    if (!spare.isEmpty() && !description.containsPools(spare)) {
+      errors.report(FleetRule.invalid("fleet", "", "spare_pool", spare, "no such pool"));
+    }
+  }
+}
--- a/decision/src/main/java/org/flamingochute/decision/settings/SectionReader.java
+++ b/decision/src/main/java/org/flamingochute/decision/settings/SectionReader.java
@@ -28,6 +28,9 @@
     DynamicMessage.Builder builder = DynamicMessage.newBuilder(schema.message());
     Set<String> given = new HashSet<>();
     for (SettingEntry entry : section.entries()) {
+      if (isEmptyButRequired(entry)) {
+        continue;
+      }
       given.add(entry.key());
       readEntry(section.name(), entry, builder);
     }
@@ -39,6 +42,11 @@
     return builder.build();
   }
 
+  private boolean isEmptyButRequired(SettingEntry entry) {
+    return entry.value().isEmpty()
+        && schema.key(entry.key()).filter(key -> key.rule().getRequired()).isPresent();
+  }
+
   private void readEntry(SectionName section, SettingEntry entry, Message.Builder builder) {
     Optional<SettingKey> key = schema.key(entry.key());
     if (key.isEmpty()) {
