--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/AgreedState.java
@@ -0,0 +1,239 @@
+package org.flamingochute.decision.agreement;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import org.flamingochute.decision.error.ErrorCode;
+import org.flamingochute.decision.identity.IdempotencyKey;
+import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.decision.identity.JobId;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.decision.identity.TeamId;
+import org.flamingochute.decision.identity.WaveId;
+import org.flamingochute.schema.AgreedStateImage;
+import org.flamingochute.schema.AuditEntry;
+import org.flamingochute.schema.ClaimImage;
+import org.flamingochute.schema.FleetDescription;
+import org.flamingochute.schema.InstanceImage;
+import org.flamingochute.schema.JobImage;
+import org.flamingochute.schema.JobPhase;
+import org.flamingochute.schema.LogRecord;
+import org.flamingochute.schema.MemberImage;
+import org.flamingochute.schema.PlacerImage;
+import org.flamingochute.schema.TeamEscrowImage;
+import org.flamingochute.schema.WaveImage;
+
+/**
+ * The agreed state: folds the records of the log in their order.
+ *
+ * <p>The fold is deterministic and total. It depends on nothing but the bytes, offsets and append
+ * times of the records, so every process that has folded the same records has the same state; and
+ * no record, however malformed, stops it. Example: two operators append patches against version 7.
+ * The first in the log makes version 8, the second is refused with a stale base, in every process
+ * alike, and neither process had to ask another.
+ *
+ * <p>One thread at a time folds, under the lock of this object. Each table has its own lock, so
+ * that reads do not wait for the fold.
+ */
+public final class AgreedState implements AgreedView {
+
+  /** Latest version of the record format and of the image format that this code reads. */
+  public static final int FORMAT_VERSION = 1;
+
+  private static final long BEFORE_FIRST_OFFSET = -1;
+
+  private final AgreementListeners listeners = new AgreementListeners();
+  private final StateTables tables = new StateTables(listeners);
+  private final RecordFolder folder = new RecordFolder(tables, listeners);
+  private volatile long offset = BEFORE_FIRST_OFFSET;
+  private volatile long timeMilliseconds;
+
+  private AgreedState() {}
+
+  /** Returns a state before the first record. */
+  public static AgreedState empty() {
+    return new AgreedState();
+  }
+
+  /** Adds a listener for all later changes. */
+  public void addListener(AgreementListener listener) {
+    listeners.add(listener);
+  }
+
+  /**
+   * Folds one record. An offset that was folded before changes nothing; an offset after a gap is
+   * not folded, since the records between may matter.
+   *
+   * @param recordOffset the record's offset
+   * @param appendTimeMilliseconds the platform's append time, in milliseconds since the epoch
+   * @param record the record's bytes
+   */
+  public synchronized FoldResult apply(
+      long recordOffset, long appendTimeMilliseconds, byte[] record) {
+    if (recordOffset <= offset) {
+      return new FoldResult.Duplicate();
+    }
+    if (offset != BEFORE_FIRST_OFFSET && recordOffset != offset + 1) {
+      return FoldResults.unreadable(
+          ErrorCode.RECORD_UNREADABLE, recordOffset, "offset " + (offset + 1) + " is missing");
+    }
+    offset = recordOffset;
+    timeMilliseconds = Math.max(timeMilliseconds, appendTimeMilliseconds);
+    FoldPosition position = new FoldPosition(offset, timeMilliseconds);
+    LogRecord parsed = parse(record);
+    FoldResult result = parsed == null ? unreadable() : fold(parsed, position);
+    tables.escrows().closeDue(position);
+    tables.prune(position);
+    if (parsed != null) {
+      listeners.recordFolded(offset, parsed, result);
+    }
+    return result;
+  }
+
+  private static LogRecord parse(byte[] record) {
+    try {
+      return LogRecord.parseFrom(record);
+    } catch (InvalidProtocolBufferException e) {
+      return null;
+    }
+  }
+
+  private FoldResult unreadable() {
+    return FoldResults.unreadable(
+        ErrorCode.RECORD_UNREADABLE, offset, "it is not a message of the schema");
+  }
+
+  private FoldResult fold(LogRecord record, FoldPosition position) {
+    if (record.getFormatVersion() > FORMAT_VERSION) {
+      return FoldResults.unreadable(
+          ErrorCode.RECORD_FUTURE_FORMAT, offset, record.getFormatVersion(), FORMAT_VERSION);
+    }
+    if (record.getBodyCase() == LogRecord.BodyCase.BODY_NOT_SET) {
+      return FoldResults.unreadable(
+          ErrorCode.RECORD_UNREADABLE, offset, "it has no body that is known");
+    }
+    Optional<FoldResult> invalid =
+        new FieldCheck(position).identifier("record_id", record.getRecordId()).refusal();
+    if (invalid.isPresent()) {
+      return invalid.get();
+    }
+    if (!tables.recentRecords().add(record.getRecordId(), offset)) {
+      return new FoldResult.Duplicate();
+    }
+    return folder.fold(record, position);
+  }
+
+  /**
+   * Replaces the whole state by an image of a later offset. An image of this offset or an earlier
+   * one, or of a later format, changes nothing.
+   *
+   * @return true when the state was replaced
+   */
+  public synchronized boolean replaceBy(AgreedStateImage image) {
+    if (image.getOffset() <= offset || image.getFormatVersion() > FORMAT_VERSION) {
+      return false;
+    }
+    tables.load(image);
+    offset = image.getOffset();
+    timeMilliseconds = image.getTimeMilliseconds();
+    listeners.stateReplaced();
+    return true;
+  }
+
+  @Override
+  public synchronized AgreedStateImage image() {
+    return tables
+        .image()
+        .setFormatVersion(FORMAT_VERSION)
+        .setOffset(offset)
+        .setTimeMilliseconds(timeMilliseconds)
+        .build();
+  }
+
+  @Override
+  public long offset() {
+    return offset;
+  }
+
+  @Override
+  public long timeMilliseconds() {
+    return timeMilliseconds;
+  }
+
+  @Override
+  public FleetDescription description() {
+    return tables.description();
+  }
+
+  @Override
+  public List<AuditEntry> audit() {
+    return tables.audit().entries();
+  }
+
+  @Override
+  public List<MemberImage> members() {
+    return tables.members().members();
+  }
+
+  @Override
+  public boolean isMember(Incarnation incarnation) {
+    return tables.members().isMember(incarnation);
+  }
+
+  @Override
+  public Optional<ClaimImage> claim(TeamId team, IdempotencyKey key) {
+    return tables.claims().claim(team, key);
+  }
+
+  @Override
+  public Optional<JobImage> job(JobId job) {
+    return tables.jobs().job(job);
+  }
+
+  @Override
+  public Optional<JobImage> job(TeamId team, IdempotencyKey key) {
+    return tables.jobs().job(team, key);
+  }
+
+  @Override
+  public Collection<JobImage> jobs(PoolId pool, JobPhase phase) {
+    return tables.jobs().jobs(pool, phase);
+  }
+
+  @Override
+  public Optional<TeamEscrowImage> escrow(TeamId team) {
+    return tables.escrows().escrow(team);
+  }
+
+  @Override
+  public Optional<PlacerImage> placer(PoolId pool) {
+    return tables.placers().placer(pool);
+  }
+
+  @Override
+  public Optional<InstanceImage> instance(InstanceId instance) {
+    return tables.instances().instance(instance);
+  }
+
+  @Override
+  public Collection<InstanceImage> instances() {
+    return tables.instances().present();
+  }
+
+  @Override
+  public Collection<InstanceImage> instances(PoolId pool) {
+    return tables.instances().present(pool);
+  }
+
+  @Override
+  public Optional<WaveImage> wave(WaveId wave) {
+    return tables.waves().wave(wave);
+  }
+
+  @Override
+  public long nextDueMilliseconds() {
+    return tables.escrows().nextDueMilliseconds(timeMilliseconds);
+  }
+}
--- a/decision/src/main/java/org/flamingochute/decision/agreement/AgreedView.java
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/AgreedView.java
@@ -49,10 +49,13 @@
   /** Returns a job. */
   Optional<JobImage> job(JobId job);
 
+  /** Returns the job that a team submitted with an idempotency key. */
+  Optional<JobImage> job(TeamId team, IdempotencyKey key);
+
   /** Returns the jobs of a pool in the given phase, in order of submission. */
   Collection<JobImage> jobs(PoolId pool, JobPhase phase);
 
-  /** Returns the escrow of a team that is part of the description. */
+  /** Returns the escrow of a team, also of one that was removed and is not settled yet. */
   Optional<TeamEscrowImage> escrow(TeamId team);
 
   /** Returns the placer of a pool. */
--- a/decision/src/main/java/org/flamingochute/decision/agreement/AgreementListener.java
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/AgreementListener.java
@@ -19,15 +19,23 @@
   default void descriptionChanged(FleetDescription before, FleetDescription after) {}
 
   /**
-   * A team's escrow entered a new epoch. Every member scales its holdings by the ratio of usable
-   * caps and states them.
+   * A team's escrow entered a new epoch. Tokens in transfer are void; every member states what it
+   * holds.
    *
-   * @param usableBefore tokens that were not used by jobs before, in total
-   * @param usableAfter tokens that are not used by jobs now, in total; never negative
+   * @param suspended true when no member may start work or transfer tokens until the epoch closes
    */
-  default void escrowEpochOpened(TeamId team, long epoch, int usableBefore, int usableAfter) {}
+  default void escrowEpochOpened(TeamId team, long epoch, boolean suspended) {}
 
-  /** The fold gave tokens of the epoch to members: after an epoch closed, or when a job ended. */
+  /** A member's statement was accepted: in the epoch it holds exactly this many tokens. */
+  default void holdingStated(TeamId team, long epoch, Incarnation member, int tokens) {}
+
+  /** The epoch's tokens are settled; a suspension is over. */
+  default void escrowEpochClosed(TeamId team, long epoch) {}
+
+  /**
+   * The fold gave tokens of the epoch to members: when it closed, when a cap was raised, or when a
+   * job ended.
+   */
   default void tokensMinted(TeamId team, long epoch, Map<Incarnation, Integer> tokens) {}
 
   /** A member joined. */
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/InstanceStopGuard.java
@@ -0,0 +1,91 @@
+package org.flamingochute.decision.agreement;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.flamingochute.decision.error.ErrorCode;
+import org.flamingochute.decision.error.ErrorReport;
+import org.flamingochute.schema.InstanceImage;
+import org.flamingochute.schema.InstanceObserved;
+import org.flamingochute.schema.InstanceState;
+import org.flamingochute.schema.PoolSection;
+
+/**
+ * Decides whether one more instance of a pool may be stopped on purpose.
+ *
+ * <p>Two limits hold. The pool keeps {@code minimum_available} instances that are live and not
+ * stopped; one that is down for another reason is not available either. And the stops under way lie
+ * in at most {@code maximum_stopped_domains} racks, so that a rack that is lost meanwhile takes
+ * little more out of service.
+ *
+ * <p>Example: six workers, four in rack a and two in rack b, minimum 4, one domain. One worker of a
+ * is stopped. A second of a may be stopped, which leaves 4; a worker of b may not, since that would
+ * be a second domain; and once a third worker is down by itself, none may.
+ *
+ * <p>The fold asks this guard at the offset of the request, so of two requests that race for the
+ * last place in the budget, the second in the log is refused everywhere.
+ */
+public final class InstanceStopGuard {
+
+  private InstanceStopGuard() {}
+
+  /**
+   * Returns why an instance may not be stopped.
+   *
+   * @param pool the limits of the pool
+   * @param poolName the pool's name, for the message
+   * @param instances all instances of the pool that are not gone
+   * @param candidate the instance to stop, one of {@code instances}
+   */
+  public static Optional<ErrorReport> refusal(
+      PoolSection pool,
+      String poolName,
+      Collection<InstanceImage> instances,
+      InstanceImage candidate) {
+    long left = countAvailable(instances) - (isAvailable(candidate) ? 1 : 0);
+    String name = candidate.getObserved().getInstance();
+    if (left < pool.getMinimumAvailable()) {
+      return Optional.of(
+          ErrorReport.of(
+              ErrorCode.BUDGET_EXCEEDED, name, left, poolName, pool.getMinimumAvailable()));
+    }
+    int domains = countStoppedDomains(instances, candidate);
+    if (domains > pool.getMaximumStoppedDomains()) {
+      return Optional.of(
+          ErrorReport.of(
+              ErrorCode.DOMAIN_LIMIT, name, domains, poolName, pool.getMaximumStoppedDomains()));
+    }
+    return Optional.empty();
+  }
+
+  /** Counts the instances that can take work. */
+  public static long countAvailable(Collection<InstanceImage> instances) {
+    return instances.stream().filter(InstanceStopGuard::isAvailable).count();
+  }
+
+  /** Tells whether an instance can take work: it is live and no stop of it is under way. */
+  public static boolean isAvailable(InstanceImage instance) {
+    return instance.getObserved().getState() == InstanceState.INSTANCE_LIVE && !instance.hasStop();
+  }
+
+  private static int countStoppedDomains(
+      Collection<InstanceImage> instances, InstanceImage candidate) {
+    Set<Domain> domains = new HashSet<>();
+    domains.add(Domain.of(candidate));
+    for (InstanceImage instance : instances) {
+      if (instance.hasStop()) {
+        domains.add(Domain.of(instance));
+      }
+    }
+    return domains.size();
+  }
+
+  private record Domain(String dataCentre, String rack) {
+
+    static Domain of(InstanceImage instance) {
+      InstanceObserved observed = instance.getObserved();
+      return new Domain(observed.getDataCentre(), observed.getRack());
+    }
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/JobFolder.java
@@ -0,0 +1,272 @@
+package org.flamingochute.decision.agreement;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.flamingochute.decision.error.ErrorCode;
+import org.flamingochute.decision.fleet.PoolKinds;
+import org.flamingochute.decision.identity.IdempotencyKey;
+import org.flamingochute.decision.identity.Identifiers;
+import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.decision.identity.JobId;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.decision.identity.TeamId;
+import org.flamingochute.schema.FleetDescription;
+import org.flamingochute.schema.InstanceImage;
+import org.flamingochute.schema.JobAttemptStarted;
+import org.flamingochute.schema.JobImage;
+import org.flamingochute.schema.JobParked;
+import org.flamingochute.schema.JobPhase;
+import org.flamingochute.schema.JobSubmitted;
+import org.flamingochute.schema.JobsCancelled;
+import org.flamingochute.schema.PlacerImage;
+import org.flamingochute.schema.PoolSection;
+
+/**
+ * Folds submissions, cancellations and starts of jobs. What becomes of an attempt that ended is
+ * decided by {@link AttemptEndFolder}.
+ *
+ * <p>An attempt starts only when all of these hold at its place in the log: the job waits and this
+ * is its next attempt, its writer is the pool's placer of the current epoch, the worker is in
+ * service in the job's pool, and the token it was started with belongs to the current escrow epoch.
+ */
+final class JobFolder {
+
+  private final JobTable jobs;
+  private final PlacerTable placers;
+  private final MemberTable members;
+  private final InstanceTable instances;
+  private final EscrowTable escrows;
+  private final Supplier<FleetDescription> description;
+
+  JobFolder(
+      JobTable jobs,
+      PlacerTable placers,
+      MemberTable members,
+      InstanceTable instances,
+      EscrowTable escrows,
+      Supplier<FleetDescription> description) {
+    this.jobs = jobs;
+    this.placers = placers;
+    this.members = members;
+    this.instances = instances;
+    this.escrows = escrows;
+    this.description = description;
+  }
+
+  /** Adds a job; a second submission with the same idempotency key is the first job. */
+  FoldResult submit(JobSubmitted job, FoldPosition position) {
+    Optional<FoldResult> invalid =
+        new FieldCheck(position)
+            .identifier("job", job.getJob())
+            .identifier("team", job.getTeam())
+            .identifier("pool", job.getPool())
+            .optionalIdentifier("idempotency_key", job.getIdempotencyKey())
+            .refusal();
+    if (invalid.isPresent()) {
+      return invalid.get();
+    }
+    Optional<FoldResult> refusal = submissionRefusal(job);
+    if (refusal.isPresent()) {
+      return refusal.get();
+    }
+    jobs.add(
+        JobImage.newBuilder()
+            .setSubmitted(job)
+            .setPhase(JobPhase.JOB_WAITING)
+            .setSubmittedMilliseconds(position.timeMilliseconds())
+            .build());
+    return FoldResults.accepted();
+  }
+
+  private Optional<FoldResult> submissionRefusal(JobSubmitted job) {
+    FleetDescription fleet = description.get();
+    if (!fleet.containsTeams(job.getTeam())) {
+      return Optional.of(FoldResults.refused(ErrorCode.TEAM_UNKNOWN, job.getTeam()));
+    }
+    PoolSection pool = fleet.getPoolsMap().get(job.getPool());
+    if (pool == null || !pool.getKind().equals(PoolKinds.WORKER)) {
+      return Optional.of(
+          FoldResults.refused(
+              ErrorCode.POOL_UNSUITABLE, job.getPool(), "jobs need a pool of workers"));
+    }
+    if (jobs.job(new JobId(job.getJob())).isPresent()) {
+      return Optional.of(FoldResults.refused(ErrorCode.JOB_EXISTS, job.getJob()));
+    }
+    return keyRefusal(job);
+  }
+
+  private Optional<FoldResult> keyRefusal(JobSubmitted job) {
+    if (job.getIdempotencyKey().isEmpty()) {
+      return Optional.empty();
+    }
+    IdempotencyKey key = new IdempotencyKey(job.getIdempotencyKey());
+    Optional<JobImage> earlier = jobs.job(new TeamId(job.getTeam()), key);
+    return earlier.map(
+        image ->
+            FoldResults.refused(
+                ErrorCode.JOB_KEY_USED, key, job.getTeam(), image.getSubmitted().getJob()));
+  }
+
+  /** Cancels the jobs of a team that are there; running ones end when their attempt does. */
+  FoldResult cancel(JobsCancelled cancelled, FoldPosition position) {
+    boolean anyKnown = false;
+    for (String name : cancelled.getJobsList()) {
+      Optional<JobImage> job = find(name);
+      if (job.isPresent() && job.get().getSubmitted().getTeam().equals(cancelled.getTeam())) {
+        anyKnown = true;
+        cancelOne(new JobId(name), job.get().getPhase(), position);
+      }
+    }
+    if (!anyKnown) {
+      return FoldResults.refused(ErrorCode.JOB_UNKNOWN, String.join(", ", shown(cancelled)));
+    }
+    return FoldResults.accepted();
+  }
+
+  private static List<String> shown(JobsCancelled cancelled) {
+    return cancelled.getJobsList().subList(0, Math.min(3, cancelled.getJobsCount()));
+  }
+
+  private void cancelOne(JobId id, JobPhase phase, FoldPosition position) {
+    switch (phase) {
+      case JOB_WAITING, JOB_PARKED ->
+          jobs.change(
+              id,
+              job ->
+                  job.toBuilder()
+                      .setPhase(JobPhase.JOB_CANCELLED)
+                      .setCancelRequested(true)
+                      .setEndedMilliseconds(position.timeMilliseconds())
+                      .build());
+      case JOB_RUNNING -> jobs.change(id, job -> job.toBuilder().setCancelRequested(true).build());
+      default -> {
+        // A job that has ended stays as it ended.
+      }
+    }
+  }
+
+  /** Starts an attempt; the placer's token becomes a running job. */
+  FoldResult start(JobAttemptStarted start) {
+    Optional<JobImage> found = find(start.getJob());
+    if (found.isEmpty()) {
+      return FoldResults.refused(ErrorCode.JOB_UNKNOWN, start.getJob());
+    }
+    JobImage job = found.get();
+    TeamId team = new TeamId(job.getSubmitted().getTeam());
+    Optional<FoldResult> refusal =
+        phaseRefusal(job, start)
+            .or(() -> placerRefusal(job, start))
+            .or(() -> workerRefusal(job, start))
+            .or(() -> escrows.refusal(team, start.getEscrowEpoch()));
+    if (refusal.isPresent()) {
+      return refusal.get();
+    }
+    jobs.change(
+        new JobId(start.getJob()),
+        waiting ->
+            waiting.toBuilder()
+                .setPhase(JobPhase.JOB_RUNNING)
+                .setAttempts(start.getAttempt())
+                .setWorker(start.getWorker())
+                .setHolder(start.getIncarnation())
+                .build());
+    escrows.jobStarted(team);
+    return FoldResults.accepted();
+  }
+
+  private static Optional<FoldResult> phaseRefusal(JobImage job, JobAttemptStarted start) {
+    boolean isNext = start.getAttempt() == job.getAttempts() + 1;
+    if (job.getPhase() == JobPhase.JOB_WAITING && isNext) {
+      return Optional.empty();
+    }
+    String phase = job.getPhase() + " after attempt " + job.getAttempts();
+    return Optional.of(FoldResults.refused(ErrorCode.JOB_WRONG_PHASE, start.getJob(), phase));
+  }
+
+  private Optional<FoldResult> placerRefusal(JobImage job, JobAttemptStarted start) {
+    PoolId pool = new PoolId(job.getSubmitted().getPool());
+    Optional<PlacerImage> placer = placers.placer(pool);
+    boolean isPlacer =
+        Identifiers.isValid(start.getIncarnation())
+            && placer.isPresent()
+            && placer.get().getEpoch() == start.getPlacerEpoch()
+            && placer.get().getIncarnation().equals(start.getIncarnation());
+    if (!isPlacer) {
+      return Optional.of(
+          FoldResults.refused(
+              ErrorCode.PLACER_STALE, start.getPlacerEpoch(), pool, placers.epoch(pool)));
+    }
+    if (!members.isMember(new Incarnation(start.getIncarnation()))) {
+      return Optional.of(FoldResults.refused(ErrorCode.NOT_A_MEMBER, start.getIncarnation()));
+    }
+    return Optional.empty();
+  }
+
+  private Optional<FoldResult> workerRefusal(JobImage job, JobAttemptStarted start) {
+    if (!Identifiers.isValid(start.getWorker())) {
+      return unsuitable(start, "not an identifier");
+    }
+    Optional<InstanceImage> worker = instances.instance(new InstanceId(start.getWorker()));
+    if (worker.isEmpty()) {
+      return unsuitable(start, "it is not known");
+    }
+    if (!worker.get().getPool().equals(job.getSubmitted().getPool())) {
+      return unsuitable(start, "it belongs to pool " + worker.get().getPool());
+    }
+    if (!InstanceStopGuard.isAvailable(worker.get())) {
+      return unsuitable(start, "it is not in service");
+    }
+    return Optional.empty();
+  }
+
+  private static Optional<FoldResult> unsuitable(JobAttemptStarted start, String reason) {
+    return Optional.of(
+        FoldResults.refused(
+            ErrorCode.WORKER_UNSUITABLE, start.getWorker(), start.getJob(), reason));
+  }
+
+  /** Sets a waiting job aside with its reason. */
+  FoldResult park(JobParked parked, FoldPosition position) {
+    Optional<JobImage> job = find(parked.getJob());
+    if (job.isEmpty()) {
+      return FoldResults.refused(ErrorCode.JOB_UNKNOWN, parked.getJob());
+    }
+    if (job.get().getPhase() != JobPhase.JOB_WAITING) {
+      return FoldResults.refused(ErrorCode.JOB_WRONG_PHASE, parked.getJob(), job.get().getPhase());
+    }
+    parkWaiting(new JobId(parked.getJob()), parked.getReason(), position);
+    return FoldResults.accepted();
+  }
+
+  /** Sets the waiting jobs of teams aside that are no longer part of the description. */
+  void teamsRemoved(FleetDescription before, FleetDescription after, FoldPosition position) {
+    for (String team : before.getTeamsMap().keySet()) {
+      if (after.containsTeams(team)) {
+        continue;
+      }
+      for (JobImage job : jobs.waiting(new TeamId(team))) {
+        parkWaiting(new JobId(job.getSubmitted().getJob()), "team was removed", position);
+      }
+    }
+  }
+
+  private void parkWaiting(JobId id, String reason, FoldPosition position) {
+    jobs.change(
+        id,
+        job ->
+            job.toBuilder()
+                .setPhase(JobPhase.JOB_PARKED)
+                .setReason(reason)
+                .setEndedMilliseconds(position.timeMilliseconds())
+                .build());
+  }
+
+  private Optional<JobImage> find(String name) {
+    if (!Identifiers.isValid(name)) {
+      return Optional.empty();
+    }
+    return jobs.job(new JobId(name));
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/StopFolder.java
@@ -0,0 +1,258 @@
+package org.flamingochute.decision.agreement;
+
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.flamingochute.decision.error.ErrorCode;
+import org.flamingochute.decision.error.ErrorReport;
+import org.flamingochute.decision.fleet.PoolKinds;
+import org.flamingochute.decision.identity.Identifiers;
+import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.decision.identity.WaveId;
+import org.flamingochute.schema.FleetDescription;
+import org.flamingochute.schema.InstanceImage;
+import org.flamingochute.schema.InstanceMoved;
+import org.flamingochute.schema.InstanceState;
+import org.flamingochute.schema.InstanceStepDone;
+import org.flamingochute.schema.InstanceStopRequested;
+import org.flamingochute.schema.PoolSection;
+import org.flamingochute.schema.StopPurpose;
+import org.flamingochute.schema.StopStep;
+
+/**
+ * Folds planned stops and moves of instances.
+ *
+ * <p>A stop runs through its steps in order: drained, rebooted, returned for a reboot; drained,
+ * moved, returned for a move; drained, retired for a retirement. {@code STOP_FAILED} ends it after
+ * any step. The instance counts as stopped from the accepted request to the last step.
+ */
+final class StopFolder {
+
+  private final InstanceTable instances;
+  private final WaveTable waves;
+  private final Supplier<FleetDescription> description;
+
+  StopFolder(InstanceTable instances, WaveTable waves, Supplier<FleetDescription> description) {
+    this.instances = instances;
+    this.waves = waves;
+    this.description = description;
+  }
+
+  /** Takes an instance out of service when the guards of its pool allow it. */
+  FoldResult request(InstanceStopRequested request, FoldPosition position) {
+    Optional<FoldResult> invalid = checkFields(request, position);
+    if (invalid.isPresent()) {
+      return invalid.get();
+    }
+    InstanceId id = new InstanceId(request.getInstance());
+    Optional<InstanceImage> instance = instances.instance(id);
+    if (instance.isEmpty() || isGone(instance.get())) {
+      return FoldResults.refused(ErrorCode.INSTANCE_UNKNOWN, id);
+    }
+    Optional<ErrorReport> refusal = refusal(request, id, instance.get());
+    if (refusal.isPresent()) {
+      return new FoldResult.Refused(refusal.get());
+    }
+    instances.change(
+        id,
+        known ->
+            known.toBuilder()
+                .setStop(request)
+                .setLastStep(StopStep.STOP_STEP_UNSPECIFIED)
+                .setStopMilliseconds(position.timeMilliseconds())
+                .build());
+    return FoldResults.accepted();
+  }
+
+  private static Optional<FoldResult> checkFields(
+      InstanceStopRequested request, FoldPosition position) {
+    boolean hasPurpose =
+        switch (request.getPurpose()) {
+          case STOP_FOR_REBOOT, STOP_FOR_MOVE, STOP_FOR_RETIREMENT -> true;
+          case STOP_PURPOSE_UNSPECIFIED, UNRECOGNIZED -> false;
+        };
+    return new FieldCheck(position)
+        .identifier("operation", request.getOperation())
+        .identifier("instance", request.getInstance())
+        .identifier("pool", request.getPool())
+        .optionalIdentifier("wave", request.getWave())
+        .optionalIdentifier("target_pool", request.getTargetPool())
+        .require("purpose", request.getPurposeValue(), hasPurpose, "unknown purpose")
+        .refusal();
+  }
+
+  private static boolean isGone(InstanceImage instance) {
+    return instance.getObserved().getState() == InstanceState.INSTANCE_GONE;
+  }
+
+  private Optional<ErrorReport> refusal(
+      InstanceStopRequested request, InstanceId id, InstanceImage instance) {
+    if (instance.hasStop()) {
+      return Optional.of(
+          ErrorReport.of(ErrorCode.INSTANCE_BUSY, id, instance.getStop().getOperation()));
+    }
+    if (!instance.getPool().equals(request.getPool())) {
+      return Optional.of(
+          ErrorReport.of(ErrorCode.INSTANCE_WRONG_POOL, id, instance.getPool(), request.getPool()));
+    }
+    FleetDescription fleet = description.get();
+    PoolSection pool = fleet.getPoolsMap().get(request.getPool());
+    if (pool == null) {
+      return unsuitable(request.getPool(), "it is not part of the fleet description");
+    }
+    if (request.getPurpose() == StopPurpose.STOP_FOR_MOVE) {
+      Optional<ErrorReport> badTarget = targetRefusal(request, instance);
+      if (badTarget.isPresent()) {
+        return badTarget;
+      }
+    }
+    if (!request.getWave().isEmpty()) {
+      Optional<ErrorReport> halted = waves.refusal(fleet, new WaveId(request.getWave()), id);
+      if (halted.isPresent()) {
+        return halted;
+      }
+    }
+    return InstanceStopGuard.refusal(
+        pool, request.getPool(), instances.present(new PoolId(request.getPool())), instance);
+  }
+
+  private Optional<ErrorReport> targetRefusal(
+      InstanceStopRequested request, InstanceImage instance) {
+    String target = request.getTargetPool();
+    PoolSection pool = description.get().getPoolsMap().get(target);
+    if (pool == null) {
+      return unsuitable(target, "it is not part of the fleet description");
+    }
+    if (target.equals(request.getPool())) {
+      return unsuitable(target, "the instance belongs to it already");
+    }
+    if (!PoolKinds.fits(instance.getObserved().getKind(), pool.getKind())) {
+      return unsuitable(target, "it holds instances of kind " + pool.getKind());
+    }
+    return Optional.empty();
+  }
+
+  private static Optional<ErrorReport> unsuitable(String pool, String reason) {
+    return Optional.of(ErrorReport.of(ErrorCode.POOL_UNSUITABLE, pool, reason));
+  }
+
+  /** Records a step of a stop; the last one puts the instance back into service. */
+  FoldResult step(InstanceStepDone done, FoldPosition position) {
+    Optional<InstanceImage> underWay = underWay(done.getInstance(), done.getOperation());
+    if (underWay.isEmpty()) {
+      return FoldResults.refused(
+          ErrorCode.OPERATION_UNKNOWN, done.getOperation(), done.getInstance());
+    }
+    InstanceImage instance = underWay.get();
+    if (!isNext(instance, done.getStep())) {
+      return FoldResults.refused(
+          ErrorCode.STEP_OUT_OF_ORDER,
+          done.getOperation(),
+          done.getStepValue(),
+          instance.getLastStep());
+    }
+    InstanceId id = new InstanceId(done.getInstance());
+    switch (done.getStep()) {
+      case STOP_RETURNED -> finish(id, instance, position);
+      case STOP_RETIRED -> {
+        finish(id, instance, position);
+        instances.retire(id, position);
+      }
+      case STOP_FAILED -> fail(id, instance, done.getDetail());
+      default ->
+          instances.change(id, known -> known.toBuilder().setLastStep(done.getStep()).build());
+    }
+    return FoldResults.accepted();
+  }
+
+  private Optional<InstanceImage> underWay(String instanceName, String operation) {
+    if (!Identifiers.isValid(instanceName)) {
+      return Optional.empty();
+    }
+    return instances
+        .instance(new InstanceId(instanceName))
+        .filter(InstanceImage::hasStop)
+        .filter(instance -> instance.getStop().getOperation().equals(operation));
+  }
+
+  private static boolean isNext(InstanceImage instance, StopStep step) {
+    StopStep last = instance.getLastStep();
+    StopPurpose purpose = instance.getStop().getPurpose();
+    boolean isDrained = last == StopStep.STOP_DRAINED;
+    return switch (step) {
+      case STOP_DRAINED -> last == StopStep.STOP_STEP_UNSPECIFIED;
+      case STOP_REBOOTED -> isDrained && purpose == StopPurpose.STOP_FOR_REBOOT;
+      case STOP_RETIRED -> isDrained && purpose == StopPurpose.STOP_FOR_RETIREMENT;
+      case STOP_RETURNED -> last == StopStep.STOP_REBOOTED || (isDrained && wasMoved(instance));
+      case STOP_FAILED -> true;
+      case STOP_STEP_UNSPECIFIED, UNRECOGNIZED -> false;
+    };
+  }
+
+  private static boolean wasMoved(InstanceImage instance) {
+    InstanceStopRequested stop = instance.getStop();
+    return stop.getPurpose() == StopPurpose.STOP_FOR_MOVE
+        && instance.getPool().equals(stop.getTargetPool());
+  }
+
+  private void finish(InstanceId id, InstanceImage instance, FoldPosition position) {
+    instances.change(
+        id,
+        known ->
+            withoutStop(known)
+                .clearFailedJobs()
+                .setLastMaintainedMilliseconds(position.timeMilliseconds())
+                .build());
+    waveOf(instance).ifPresent(wave -> waves.finished(wave, id));
+  }
+
+  private void fail(InstanceId id, InstanceImage instance, String detail) {
+    instances.change(id, known -> withoutStop(known).build());
+    waveOf(instance).ifPresent(wave -> waves.failed(wave, id, detail));
+  }
+
+  private static InstanceImage.Builder withoutStop(InstanceImage instance) {
+    return instance.toBuilder().clearStop().clearLastStep().clearStopMilliseconds();
+  }
+
+  private Optional<WaveId> waveOf(InstanceImage instance) {
+    String wave = instance.getStop().getWave();
+    if (!description.get().containsWaves(wave)) {
+      return Optional.empty();
+    }
+    return Optional.of(new WaveId(wave));
+  }
+
+  /** Moves a drained instance to the pool that its stop was requested for. */
+  FoldResult move(InstanceMoved moved) {
+    Optional<InstanceImage> underWay = underWay(moved.getInstance(), moved.getOperation());
+    if (underWay.isEmpty()) {
+      return FoldResults.refused(
+          ErrorCode.OPERATION_UNKNOWN, moved.getOperation(), moved.getInstance());
+    }
+    InstanceImage instance = underWay.get();
+    if (!instance.getPool().equals(moved.getFromPool())) {
+      return FoldResults.refused(
+          ErrorCode.INSTANCE_WRONG_POOL,
+          moved.getInstance(),
+          instance.getPool(),
+          moved.getFromPool());
+    }
+    boolean isPlanned =
+        instance.getStop().getPurpose() == StopPurpose.STOP_FOR_MOVE
+            && instance.getStop().getTargetPool().equals(moved.getToPool())
+            && description.get().containsPools(moved.getToPool());
+    if (!isPlanned) {
+      return FoldResults.refused(
+          ErrorCode.POOL_UNSUITABLE, moved.getToPool(), "the stop was not requested for it");
+    }
+    if (instance.getLastStep() != StopStep.STOP_DRAINED) {
+      return FoldResults.refused(
+          ErrorCode.STEP_OUT_OF_ORDER, moved.getOperation(), "MOVED", instance.getLastStep());
+    }
+    instances.change(
+        new InstanceId(moved.getInstance()),
+        known -> known.toBuilder().setPool(moved.getToPool()).build());
+    return FoldResults.accepted();
+  }
+}
