--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/admission/QueueBounds.java
@@ -0,0 +1,21 @@
+package org.flamingochute.decision.admission;
+
+/**
+ * Limits of a queue.
+ *
+ * @param maximumWaiting requests that may wait in all
+ * @param maximumWaitingPerTeam requests of one team that may wait
+ */
+public record QueueBounds(int maximumWaiting, int maximumWaitingPerTeam) {
+
+  /** Checks that both limits are positive. */
+  public QueueBounds {
+    if (maximumWaiting < 1) {
+      throw new IllegalArgumentException("maximumWaiting must be positive: " + maximumWaiting);
+    }
+    if (maximumWaitingPerTeam < 1) {
+      throw new IllegalArgumentException(
+          "maximumWaitingPerTeam must be positive: " + maximumWaitingPerTeam);
+    }
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/admission/ShedRequest.java
@@ -0,0 +1,9 @@
+package org.flamingochute.decision.admission;
+
+/**
+ * A request that was removed from a queue without having been dispatched.
+ *
+ * @param request the request
+ * @param reason why it was removed
+ */
+public record ShedRequest<T>(QueuedRequest<T> request, ShedReason reason) {}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Admission of requests: bounded queues, fair order between teams, and shedding under overload. */
+package org.flamingochute.decision.admission;
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of the endpoint for a request. */
+package org.flamingochute.decision.dispatch;
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/maintenance/ImmediateMovePlanner.java
@@ -0,0 +1,49 @@
+package org.flamingochute.decision.maintenance;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.flamingochute.decision.identity.PoolId;
+
+/**
+ * Follows the present demand at once: every pool that needs more instances than it has takes one
+ * from the pool with most to spare. The plain baseline that {@link SteadyMovePlanner} is compared
+ * with.
+ */
+public final class ImmediateMovePlanner implements MovePlanner {
+
+  @Override
+  public List<InstanceMove> nextMoves(MoveInput input, long nowMilliseconds) {
+    Map<PoolId, List<PoolInstance>> byPool = new HashMap<>();
+    for (PoolInstance instance : input.instances()) {
+      if (instance.isAvailable()) {
+        byPool.computeIfAbsent(instance.pool(), key -> new ArrayList<>()).add(instance);
+      }
+    }
+    List<InstanceMove> moves = new ArrayList<>();
+    for (PoolDemand borrower : input.pools()) {
+      int held = byPool.getOrDefault(borrower.pool(), List.of()).size();
+      if (borrower.instancesNeeded() <= held) {
+        continue;
+      }
+      input.pools().stream()
+          .filter(lender -> surplus(lender, byPool) >= 1)
+          .max(Comparator.comparingDouble(lender -> surplus(lender, byPool)))
+          .ifPresent(lender -> moves.add(move(lender, borrower, byPool)));
+    }
+    return moves;
+  }
+
+  private static InstanceMove move(
+      PoolDemand lender, PoolDemand borrower, Map<PoolId, List<PoolInstance>> byPool) {
+    PoolInstance instance = byPool.get(lender.pool()).removeLast();
+    return new InstanceMove(instance.instance(), lender.pool(), borrower.pool());
+  }
+
+  private static double surplus(PoolDemand lender, Map<PoolId, List<PoolInstance>> byPool) {
+    int held = byPool.getOrDefault(lender.pool(), List.of()).size();
+    return held - Math.max(lender.minimumAvailable(), lender.instancesNeeded());
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/maintenance/PoolInstance.java
@@ -0,0 +1,35 @@
+package org.flamingochute.decision.maintenance;
+
+import org.flamingochute.decision.identity.DataCentreId;
+import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.decision.identity.RackId;
+
+/**
+ * An instance as the planners see it.
+ *
+ * @param instance the instance
+ * @param pool the pool that it belongs to
+ * @param dataCentre its data centre
+ * @param rack its rack; racks of different data centres are different even under the same name
+ * @param condition whether it can serve
+ * @param inFlight requests or jobs that it works on
+ */
+public record PoolInstance(
+    InstanceId instance,
+    PoolId pool,
+    DataCentreId dataCentre,
+    RackId rack,
+    InstanceCondition condition,
+    int inFlight) {
+
+  /** Returns its failure domain. */
+  public FailureDomain domain() {
+    return new FailureDomain(dataCentre, rack);
+  }
+
+  /** Tells whether it serves. */
+  public boolean isAvailable() {
+    return condition == InstanceCondition.AVAILABLE;
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/maintenance/package-info.java
@@ -0,0 +1,2 @@
+/** Planned stops of instances: maintenance waves, moves between pools, and the shrink. */
+package org.flamingochute.decision.maintenance;
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/placement/UsageEstimator.java
@@ -0,0 +1,77 @@
+package org.flamingochute.decision.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.flamingochute.decision.identity.TeamId;
+
+/**
+ * Corrects the declared size of jobs by what earlier jobs of the same team used.
+ *
+ * <p>For each team and resource it keeps the weighted mean and mean deviation of the ratio of peak
+ * usage to declared size. The estimate is the declared size times the mean plus some deviations:
+ * more for memory, where too little room ends a job, than for processors, where it only slows jobs
+ * down. Few observations count partly, so that one odd job does not decide. Accelerators are whole
+ * and exclusive and are never corrected. Example: a team that declares 8 cores and uses 2 to 3 gets
+ * an estimate near 3 cores after some jobs. Used by one thread at a time.
+ */
+public final class UsageEstimator {
+
+  private static final double GAIN = 1.0 / 8;
+  private static final double PROCESSOR_DEVIATIONS = 1.0;
+  private static final double MEMORY_DEVIATIONS = 3.0;
+  private static final double MINIMUM_RATIO = 0.05;
+  private static final double MAXIMUM_RATIO = 20.0;
+  private static final int OBSERVATIONS_FOR_FULL_TRUST = 4;
+
+  private final Map<TeamId, TeamRatios> teams = new HashMap<>();
+
+  /** Takes the peak usage of a job into account. */
+  public void observe(TeamId team, ResourceVector declared, ResourceVector peak) {
+    TeamRatios ratios = teams.computeIfAbsent(team, key -> new TeamRatios());
+    ratios.processors.observe(declared.processorMillicores(), peak.processorMillicores());
+    ratios.memory.observe(declared.memoryMebibytes(), peak.memoryMebibytes());
+  }
+
+  /** Returns the estimated size of a job. */
+  public ResourceVector estimate(TeamId team, ResourceVector declared) {
+    TeamRatios ratios = teams.get(team);
+    if (ratios == null) {
+      return declared;
+    }
+    return new ResourceVector(
+        ratios.processors.correct(declared.processorMillicores(), PROCESSOR_DEVIATIONS),
+        ratios.memory.correct(declared.memoryMebibytes(), MEMORY_DEVIATIONS),
+        declared.accelerators());
+  }
+
+  private static final class TeamRatios {
+    private final Ratio processors = new Ratio();
+    private final Ratio memory = new Ratio();
+  }
+
+  private static final class Ratio {
+    private double mean = 1;
+    private double deviation;
+    private int observations;
+
+    private void observe(long declared, long peak) {
+      if (declared <= 0 || peak <= 0) {
+        return;
+      }
+      double ratio = Math.clamp((double) peak / declared, MINIMUM_RATIO, MAXIMUM_RATIO);
+      observations++;
+      double gain = Math.max(GAIN, 1.0 / observations);
+      double error = ratio - mean;
+      mean += gain * error;
+      if (observations > 1) {
+        deviation += gain * (Math.abs(error) - deviation);
+      }
+    }
+
+    private long correct(long declared, double deviations) {
+      double trust = Math.min(1.0, (double) observations / OBSERVATIONS_FOR_FULL_TRUST);
+      double ratio = Math.clamp(mean + deviations * deviation, MINIMUM_RATIO, MAXIMUM_RATIO);
+      return Math.round(declared * (trust * ratio + (1 - trust)));
+    }
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/org/flamingochute/decision/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Placement of jobs on workers. */
+package org.flamingochute.decision.placement;
