--- a/decision/src/test/java/org/flamingochute/decision/fleet/FleetDescriptionTest.java
+++ b/decision/src/test/java/org/flamingochute/decision/fleet/FleetDescriptionTest.java
@@ -85,8 +85,7 @@
             + " patch p: section [team -]: name \"-\" does not match"
             + " [A-Za-z0-9][A-Za-z0-9._-]{0,62}",
       })
-  void patchWithInvalidResultIsRefused(
-      String section, String key, String value, String message) {
+  void patchWithInvalidResultIsRefused(String section, String key, String value, String message) {
     SectionName name = SectionName.parse(section);
     SettingChange change = FleetFixture.set(name.kind(), name.name(), key, value);
     List<String> messages =
@@ -103,8 +102,7 @@
     "pool, none, size, false",
     "pool, quotes, '', false",
   })
-  void removalIsTakenOnlyWhenTheRestIsValid(
-      String kind, String name, String key, boolean isTaken) {
+  void removalIsTakenOnlyWhenTheRestIsValid(String kind, String name, String key, boolean isTaken) {
     SettingChange change = FleetFixture.remove(kind, name, key);
     assertThat(patch(List.of(change)).isRight(), equalTo(isTaken));
   }
