Add stand-ins for the platform, runners and workers

Cause: the entry process, the scenario suite and the demonstration need a platform, runners and workers to talk to. The state of each is a plain class with the semantics of the platform's interfaces and a clock that is passed in; the HTTP servlets add nothing but the wire, so fakes and processes can not drift apart.

Ruled out: one process for each instance (30 virtual machines for one fleet); closing the listening socket while an instance is powered down (the answer not-run is as true and keeps the port).

--- a/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
+++ b/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
@@ -57,6 +57,15 @@
   BODY_TOO_LARGE(1213, "the body has more than %s bytes"),
   OPERATOR_UNKNOWN(1214, "operator %s is not known or the key is wrong"),
   OPERATOR_NOT_ALLOWED(1215, "operator %s may not patch the description"),
+
+  // Stand-ins, load tool and the operators' command line: 1400 to 1499.
+  STAND_IN_CANNOT_LISTEN(1400, "address %s: cannot listen: %s"),
+  STAND_IN_BODY_MALFORMED(1401, "%s: the body cannot be read: %s"),
+  STAND_IN_UNKNOWN_INSTANCE(1402, "instance \"%s\" is not registered"),
+  STAND_IN_PARAMETER(1403, "%s: parameter \"%s\" has value \"%s\", which is not %s"),
+  STAND_IN_UNREACHABLE(1404, "%s at %s cannot be reached: %s"),
+  FILE_NOT_WRITABLE(1405, "%s: cannot be written: %s"),
+  COMMAND_LINE(1406, "command line: %s"),
   ;
 
   private final int number;
--- /dev/null
+++ b/standin/src/main/java/org/flamingochute/standin/InstancePowerSwitch.java
@@ -0,0 +1,11 @@
+package org.flamingochute.standin;
+
+import org.flamingochute.schema.ListedInstance;
+
+/** Powers instances up and down on behalf of the platform. */
+@FunctionalInterface
+public interface InstancePowerSwitch {
+
+  /** Powers an instance up or down; must not block. */
+  void setPower(ListedInstance instance, boolean on);
+}
--- /dev/null
+++ b/standin/src/main/java/org/flamingochute/standin/RunTimes.java
@@ -0,0 +1,38 @@
+package org.flamingochute.standin;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Samples run times from an exponential distribution, cut off at {@value #LARGEST_FACTOR} times the
+ * mean. Two samplers with the same seed give the same run times.
+ */
+public final class RunTimes {
+
+  /** Largest run time as a multiple of the mean. */
+  public static final int LARGEST_FACTOR = 10;
+
+  private final long meanMilliseconds;
+  private final ZigguratSampler.Exponential sampler;
+
+  /**
+   * Creates a sampler.
+   *
+   * @param meanMilliseconds mean run time in milliseconds
+   * @param seed seed of the samples
+   */
+  public RunTimes(long meanMilliseconds, long seed) {
+    this.meanMilliseconds = meanMilliseconds;
+    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    this.sampler = ZigguratSampler.Exponential.of(random, Math.max(1, meanMilliseconds));
+  }
+
+  /** Returns the next run time in milliseconds. */
+  public synchronized long nextMilliseconds() {
+    if (meanMilliseconds == 0) {
+      return 0;
+    }
+    return Math.min(meanMilliseconds * LARGEST_FACTOR, Math.round(sampler.sample()));
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/flamingochute/standin/http/EndpointStandIn.java
@@ -0,0 +1,169 @@
+package org.flamingochute.standin.http;
+
+import com.google.common.flogger.FluentLogger;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.RoutingServlet;
+import io.activej.promise.Promise;
+import java.util.concurrent.ExecutionException;
+import org.flamingochute.decision.error.ErrorCode;
+import org.flamingochute.decision.error.ErrorReport;
+import org.flamingochute.platform.Timers;
+import org.flamingochute.schema.FaultSettings;
+import org.flamingochute.schema.InstanceKind;
+import org.flamingochute.schema.InstanceState;
+import org.flamingochute.schema.ListedInstance;
+import org.flamingochute.schema.ResourceAmount;
+import org.flamingochute.schema.StandInEndpointSection;
+import org.flamingochute.standin.EndpointFaults;
+import org.flamingochute.standin.EndpointRecorder;
+import org.flamingochute.standin.RunTimes;
+import org.flamingochute.standin.StandInRunner;
+import org.flamingochute.standin.StandInWorker;
+import org.flamingochute.standin.ThreadTimers;
+
+/**
+ * The stand-in process of runners and workers: each instance has its own port, and all share one
+ * record of what they did.
+ *
+ * <p>Runners are spread over the data centres in turn. Workers stand four to a rack, and the racks
+ * are spread over the data centres in turn.
+ */
+public final class EndpointStandIn implements AutoCloseable {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final String LOOPBACK = "127.0.0.1:0";
+  private static final int DATA_CENTRES = 3;
+  private static final int WORKERS_IN_RACK = 4;
+  private static final int MILLICORES = 1000;
+  private static final int STATUS_OK = 200;
+
+  private final StandInEndpointSection settings;
+  private final HttpListeners listeners;
+  private final MessagePoster poster;
+  private final Timers timers = new ThreadTimers();
+  private final EndpointRecorder recorder = new EndpointRecorder();
+  private final EndpointFaults faults = new EndpointFaults();
+  private String address;
+
+  private EndpointStandIn(StandInEndpointSection settings) {
+    this.settings = settings;
+    this.listeners = new HttpListeners(settings.getThreads());
+    this.poster = new MessagePoster(listeners.firstLoop());
+  }
+
+  /** Starts all instances, registers them at the platform and writes the port file. */
+  public static EndpointStandIn start(StandInEndpointSection settings) throws StandInException {
+    EndpointStandIn standIn = new EndpointStandIn(settings);
+    for (PoolSize pool : PoolSize.parseList(settings.getRunnerPools())) {
+      standIn.startRunners(pool);
+    }
+    for (PoolSize pool : PoolSize.parseList(settings.getWorkerPools())) {
+      standIn.startWorkers(pool);
+    }
+    standIn.address = standIn.listeners.listen(settings.getAddress(), standIn.reportRoutes());
+    PortFile.write(settings.getPortFile(), standIn.address);
+    logger.atInfo().log("event=stand_in_ready kind=endpoints http=%s", standIn.address);
+    return standIn;
+  }
+
+  private void startRunners(PoolSize pool) throws StandInException {
+    for (int i = 0; i < pool.size(); i++) {
+      String instance = pool.pool() + "-" + i;
+      StandInRunner runner =
+          new StandInRunner(
+              instance,
+              settings.getSlots(),
+              settings.getQueuedRequests(),
+              timers,
+              new RunTimes(
+                  settings.getMeanRunMilliseconds(), settings.getSeed() + instance.hashCode()),
+              recorder,
+              faults);
+      String runnerAddress = listeners.listen(LOOPBACK, new RunnerServlet(runner)::serve);
+      register(describe(pool, i, i).setAddress(runnerAddress).build());
+    }
+  }
+
+  private void startWorkers(PoolSize pool) throws StandInException {
+    ResourceAmount capacity =
+        ResourceAmount.newBuilder()
+            .setProcessorMillicores(settings.getWorkerProcessors() * MILLICORES)
+            .setMemoryMebibytes(settings.getWorkerMemoryMebibytes())
+            .build();
+    for (int i = 0; i < pool.size(); i++) {
+      String instance = pool.pool() + "-" + i;
+      StandInWorker worker = new StandInWorker(instance, capacity, timers, recorder, faults);
+      WorkerServlet servlet = new WorkerServlet(worker);
+      String workerAddress = listeners.listen(LOOPBACK, servlet.routes(listeners.nextLoop()));
+      register(
+          describe(pool, i, i / WORKERS_IN_RACK)
+              .setKind(InstanceKind.INSTANCE_WORKER)
+              .setCapacity(capacity)
+              .setAddress(workerAddress)
+              .build());
+    }
+  }
+
+  private static ListedInstance.Builder describe(PoolSize pool, int index, int rack) {
+    return ListedInstance.newBuilder()
+        .setInstance(pool.pool() + "-" + index)
+        .setKind(InstanceKind.INSTANCE_RUNNER)
+        .setState(InstanceState.INSTANCE_LIVE)
+        .setDataCentre("dc-" + rack % DATA_CENTRES)
+        .setRack(pool.pool() + "-rack-" + rack)
+        .setFirstPool(pool.pool());
+  }
+
+  private void register(ListedInstance instance) throws StandInException {
+    String platform = settings.getPlatformAddress();
+    try {
+      int status = poster.post(platform, "/instances/register", instance).get();
+      if (status != STATUS_OK) {
+        throw unreachable(platform, "status " + status);
+      }
+    } catch (ExecutionException e) {
+      throw unreachable(platform, String.valueOf(e.getCause()));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw unreachable(platform, "interrupted");
+    }
+  }
+
+  private static StandInException unreachable(String platform, String detail) {
+    return new StandInException(
+        ErrorReport.of(ErrorCode.STAND_IN_UNREACHABLE, "the platform stand-in", platform, detail));
+  }
+
+  private AsyncServlet reportRoutes() {
+    return RoutingServlet.builder(listeners.nextLoop())
+        .with(HttpMethod.GET, "/report", this::report)
+        .with(
+            HttpMethod.POST,
+            "/faults",
+            HttpBodies.json(FaultSettings.getDefaultInstance(), this::applyFaults))
+        .build();
+  }
+
+  private Promise<HttpResponse> report(HttpRequest request) {
+    boolean withRequests = !"false".equals(request.getQueryParameter("requests"));
+    return HttpBodies.respond(recorder.report(withRequests));
+  }
+
+  private Promise<HttpResponse> applyFaults(FaultSettings settings) {
+    faults.apply(settings);
+    return HttpBodies.respond(settings);
+  }
+
+  /** Returns the IP address and port of the report and of the fault settings. */
+  public String address() {
+    return address;
+  }
+
+  @Override
+  public void close() {
+    listeners.close();
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/flamingochute/standin/http/StandInException.java
@@ -0,0 +1,22 @@
+package org.flamingochute.standin.http;
+
+import org.flamingochute.decision.error.ErrorReport;
+
+/** A stand-in process cannot start or go on. */
+public final class StandInException extends Exception {
+
+  private static final long serialVersionUID = 1L;
+
+  private final transient ErrorReport report;
+
+  /** Creates the exception for a report. */
+  public StandInException(ErrorReport report) {
+    super(report.toString());
+    this.report = report;
+  }
+
+  /** Returns what to tell the user. */
+  public ErrorReport report() {
+    return report;
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/flamingochute/standin/StandInRunnerTest.java
@@ -0,0 +1,146 @@
+package org.flamingochute.standin;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.flamingochute.platform.EndpointOutcome;
+import org.flamingochute.platform.EndpointRequest;
+import org.flamingochute.platform.HeaderField;
+import org.flamingochute.schema.EndpointFault;
+import org.flamingochute.schema.EndpointFaultKind;
+import org.flamingochute.schema.FaultSettings;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class StandInRunnerTest {
+
+  private static final long RUN_MILLISECONDS = 100;
+
+  private final ManualTimers timers = new ManualTimers();
+  private final EndpointRecorder recorder = new EndpointRecorder();
+  private final EndpointFaults faults = new EndpointFaults();
+
+  private StandInRunner runner(int slots, int queued) {
+    return new StandInRunner(
+        "r-1", slots, queued, timers, new RunTimes(RUN_MILLISECONDS, 1), recorder, faults);
+  }
+
+  private static EndpointRequest request(String tag, long timeout) {
+    return new EndpointRequest(
+        "id-" + tag,
+        "POST",
+        "/",
+        List.of(
+            new HeaderField("x-request-tag", tag),
+            new HeaderField("X-Team-Tag", "rosario"),
+            new HeaderField("X-Run-Milliseconds", Long.toString(RUN_MILLISECONDS))),
+        new byte[0],
+        timeout,
+        false);
+  }
+
+  @ParameterizedTest(name = "{0} slots, queue of {1}, timeout {2}: {3}")
+  @CsvSource({
+    "1, 1, 1000, Whole Whole Refused Refused",
+    "2, 1, 1000, Whole Whole Whole Refused",
+    "4, 0, 1000, Whole Whole Whole Whole",
+    "1, 3, 101, Whole Cut Refused Refused",
+    "1, 3, 50, Cut Refused Refused Refused",
+    "1, 1, 0, Refused Refused Refused Refused",
+  })
+  void requestsTakeSlotsThenTheQueue(int slots, int queued, long timeout, String replies) {
+    StandInRunner runner = runner(slots, queued);
+    List<CompletableFuture<RunnerReply>> futures = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      futures.add(runner.submit(request("t" + i, timeout)));
+    }
+    timers.advance(10 * RUN_MILLISECONDS);
+    String seen =
+        futures.stream()
+            .map(future -> future.join().getClass().getSimpleName())
+            .collect(Collectors.joining(" "));
+    assertThat(seen, equalTo(replies));
+    assertThat(recorder.concurrency().running("rosario"), equalTo(0));
+  }
+
+  @Test
+  void reportCountsEachTag() {
+    StandInRunner runner = runner(1, 4);
+    runner.submit(request("t1", 1000));
+    runner.submit(request("t1", 1000));
+    runner.submit(request("t2", 1000));
+    timers.advance(2 * RUN_MILLISECONDS);
+    String counts =
+        recorder.report(true).getRequestsList().stream()
+            .map(count -> count.getTag() + ":" + count.getBegun() + "/" + count.getEnded())
+            .sorted()
+            .collect(Collectors.joining(" "));
+    assertThat(counts, equalTo("t1:2/2 t2:1/0"));
+  }
+
+  static Stream<Arguments> faultReplies() {
+    return Stream.of(
+        Arguments.of(EndpointFaultKind.RUNNER_SHORT, RunnerReply.BrokenOff.class),
+        Arguments.of(EndpointFaultKind.RUNNER_TWICE, RunnerReply.Repeated.class),
+        Arguments.of(EndpointFaultKind.RUNNER_CROSSED, RunnerReply.Whole.class));
+  }
+
+  @ParameterizedTest(name = "{0} gives {1}, once")
+  @MethodSource("faultReplies")
+  void faultAppliesAsOftenAsSet(EndpointFaultKind kind, Class<? extends RunnerReply> reply) {
+    faults.apply(
+        FaultSettings.newBuilder()
+            .addEndpoints(EndpointFault.newBuilder().setKind(kind).setCount(1))
+            .build());
+    StandInRunner runner = runner(2, 0);
+    CompletableFuture<RunnerReply> first = runner.submit(request("t1", 1000));
+    final CompletableFuture<RunnerReply> second = runner.submit(request("t2", 1000));
+    timers.advance(RUN_MILLISECONDS);
+    assertThat(first.join(), instanceOf(reply));
+    EndpointOutcome.Answered answer = ((RunnerReply.Whole) second.join()).answer();
+    assertThat(TaggedAnswer.isWholeAnswerOf("t2", answer.body()), equalTo(true));
+  }
+
+  @ParameterizedTest(name = "through the client, {0} is {1}")
+  @CsvSource({
+    "RUNNER_SHORT, Unknown",
+    "RUNNER_TWICE, Answered",
+    "RUNNER_CROSSED, Unknown",
+    "RUNNER_LATE, Answered",
+    "ENDPOINT_FAULT_UNSPECIFIED, Answered",
+  })
+  void clientTellsOwnAnswers(EndpointFaultKind kind, String outcome) {
+    faults.apply(
+        FaultSettings.newBuilder()
+            .addEndpoints(EndpointFault.newBuilder().setKind(kind).setFaultMilliseconds(5))
+            .build());
+    InMemoryEndpointClient client = new InMemoryEndpointClient();
+    client.add("10.0.0.1:80", runner(1, 0));
+    CompletableFuture<EndpointOutcome> result = client.send("10.0.0.1:80", request("t1", 1000));
+    timers.advance(2 * RUN_MILLISECONDS);
+    assertThat(result.join().getClass().getSimpleName(), equalTo(outcome));
+  }
+
+  @Test
+  void poweringDownCutsWorkAndRefusesMore() {
+    StandInRunner runner = runner(1, 1);
+    CompletableFuture<RunnerReply> running = runner.submit(request("t1", 1000));
+    final CompletableFuture<RunnerReply> queued = runner.submit(request("t2", 1000));
+    runner.setPower(false);
+    assertThat(running.join(), instanceOf(RunnerReply.Cut.class));
+    assertThat(queued.join(), instanceOf(RunnerReply.Cut.class));
+    assertThat(runner.submit(request("t3", 1000)).join(), instanceOf(RunnerReply.Refused.class));
+    assertThat(recorder.report(false).getCutByPowerDown(), equalTo(2L));
+    timers.advance(RUN_MILLISECONDS);
+    assertThat(recorder.concurrency().running("rosario"), equalTo(0));
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/flamingochute/standin/http/StandInProcessTest.java
@@ -0,0 +1,199 @@
+package org.flamingochute.standin.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.equalTo;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.util.JsonFormat;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+import org.flamingochute.schema.AppendRequest;
+import org.flamingochute.schema.AppendResponse;
+import org.flamingochute.schema.EndpointReport;
+import org.flamingochute.schema.InstanceListing;
+import org.flamingochute.schema.ListedInstance;
+import org.flamingochute.schema.ReadResponse;
+import org.flamingochute.schema.StandInEndpointSection;
+import org.flamingochute.schema.StandInPlatformSection;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class StandInProcessTest {
+
+  private final HttpClient client = HttpClient.newHttpClient();
+  private PlatformStandIn platform;
+  private EndpointStandIn endpoints;
+
+  @BeforeEach
+  void startProcesses() throws Exception {
+    platform =
+        PlatformStandIn.start(
+            StandInPlatformSection.newBuilder()
+                .setAddress("127.0.0.1:0")
+                .setRetainedRecords(3)
+                .build());
+    endpoints =
+        EndpointStandIn.start(
+            StandInEndpointSection.newBuilder()
+                .setAddress("127.0.0.1:0")
+                .setPlatformAddress(platform.address())
+                .setRunnerPools("quotes:2")
+                .setWorkerPools("prints:5")
+                .setThreads(1)
+                .setSlots(1)
+                .setWorkerProcessors(4)
+                .setWorkerMemoryMebibytes(1000)
+                .build());
+  }
+
+  @AfterEach
+  void stopProcesses() {
+    endpoints.close();
+    platform.close();
+  }
+
+  private HttpResponse<byte[]> call(String method, String address, String path, byte[] body)
+      throws Exception {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + address + path))
+            .method(method, HttpRequest.BodyPublishers.ofByteArray(body))
+            .header("X-Request-Tag", "t1")
+            .header("Flamingochute-Request-Id", "d1")
+            .build();
+    return client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+  }
+
+  private String text(String method, String address, String path, String body) throws Exception {
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    return new String(call(method, address, path, bytes).body(), StandardCharsets.UTF_8);
+  }
+
+  private Map<String, ListedInstance> instances() throws Exception {
+    InstanceListing.Builder listing = InstanceListing.newBuilder();
+    JsonFormat.parser().merge(text("GET", platform.address(), "/instances", ""), listing);
+    Map<String, ListedInstance> byName = new TreeMap<>();
+    listing.getInstancesList().forEach(each -> byName.put(each.getInstance(), each));
+    return byName;
+  }
+
+  @Test
+  void instancesRegisterThemselves() throws Exception {
+    Map<String, ListedInstance> instances = instances();
+    assertThat(
+        String.join(" ", instances.keySet()),
+        equalTo("prints-0 prints-1 prints-2 prints-3 prints-4 quotes-0 quotes-1"));
+    assertThat(instances.get("prints-3").getRack(), equalTo("prints-rack-0"));
+    assertThat(instances.get("prints-4").getRack(), equalTo("prints-rack-1"));
+  }
+
+  @Test
+  void appendedRecordsAreReadUntilTheyExpire() throws Exception {
+    AppendRequest.Builder batch = AppendRequest.newBuilder();
+    for (int i = 1; i <= 5; i++) {
+      batch.addRecords(ByteString.copyFromUtf8("record" + i));
+    }
+    String address = platform.address();
+    byte[] appended = call("POST", address, "/log/append", batch.build().toByteArray()).body();
+    assertThat(AppendResponse.parseFrom(appended).getFirstOffset(), equalTo(1L));
+    HttpResponse<byte[]> kept = call("GET", address, "/log/records?from=4&maximum=9", new byte[0]);
+    ReadResponse read = ReadResponse.parseFrom(kept.body());
+    assertThat(read.getRecords(0).getRecord().toStringUtf8(), equalTo("record4"));
+    HttpResponse<byte[]> expired =
+        call("GET", address, "/log/records?from=1&maximum=9", new byte[0]);
+    assertThat(expired.statusCode(), equalTo(410));
+    assertThat(ReadResponse.parseFrom(expired.body()).getEarliestOffset(), equalTo(3L));
+  }
+
+  @ParameterizedTest(name = "{0} {1} with body {2} is refused with {3} naming {4}")
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "POST | /log/append | garbage | 400 | /log/append",
+        "GET | /log/records?from=x&maximum=1 | '' | 400 | from",
+        "GET | /log/records?from=1 | '' | 400 | maximum",
+        "POST | /instances/register | {\"colour\":1} | 400 | colour",
+        "POST | /instances/register | {} | 404 | instance",
+        "POST | /instances/state | {\"instance\":\"x-9\"} | 404 | x-9",
+        "POST | /pools/operations | [ | 400 | /pools/operations",
+        "POST | /faults | {\"logDown\":\"maybe\"} | 400 | maybe",
+        "POST | /nowhere | '' | 404 | ''",
+      })
+  void malformedCallsAreRefused(String method, String path, String body, int status, String named)
+      throws Exception {
+    HttpResponse<byte[]> response =
+        call(method, platform.address(), path, body.getBytes(StandardCharsets.UTF_8));
+    assertThat(response.statusCode(), equalTo(status));
+    assertThat(new String(response.body(), StandardCharsets.UTF_8), containsString(named));
+    assertThat(instances().size(), equalTo(7));
+  }
+
+  @Test
+  void runnerAnswersAndReports() throws Exception {
+    String runner = instances().get("quotes-0").getAddress();
+    HttpResponse<byte[]> response = call("POST", runner, "/quote", new byte[0]);
+    assertThat(response.statusCode(), equalTo(200));
+    assertThat(response.headers().firstValue("Flamingochute-Request-Id").orElse(""), equalTo("d1"));
+    EndpointReport.Builder report = EndpointReport.newBuilder();
+    JsonFormat.parser().merge(text("GET", endpoints.address(), "/report", ""), report);
+    assertThat(report.getRequests(0).getTag(), equalTo("t1"));
+    assertThat(report.getRequests(0).getEnded(), equalTo(1));
+  }
+
+  @Test
+  void drainThenRebootThroughThePlatform() throws Exception {
+    text("POST", platform.address(), "/faults", "{\"listLagMilliseconds\":0}");
+    String drain = "{\"operation\":\"o1\",\"instance\":\"quotes-0\",\"action\":\"POOL_DRAIN\"}";
+    String status = text("POST", platform.address(), "/pools/operations", drain);
+    assertThat(status, containsString("\"done\":true"));
+    assertThat(instances().get("quotes-0").getState().name(), equalTo("INSTANCE_LEAVING"));
+  }
+
+  @ParameterizedTest(name = "fault {0} is seen on the wire")
+  @CsvSource({"RUNNER_SHORT, 1, end", "RUNNER_TWICE, 2, open", "RUNNER_CROSSED, 1, open"})
+  void faultsOnTheWire(String kind, int heads, String connection) throws Exception {
+    text("POST", endpoints.address(), "/faults", "{\"endpoints\":[{\"kind\":\"" + kind + "\"}]}");
+    String[] address = instances().get("quotes-1").getAddress().split(":");
+    try (Socket socket =
+        new Socket(InetAddress.getByName(address[0]), Integer.parseInt(address[1]))) {
+      socket
+          .getOutputStream()
+          .write(
+              "GET / HTTP/1.1\r\nHost: x\r\nX-Request-Tag: t1\r\nX-Answer-Bytes: 40\r\n\r\n"
+                  .getBytes(StandardCharsets.US_ASCII));
+      String seen = readFor(socket, 500);
+      assertThat(seen.split("HTTP/1.1 200", -1).length - 1, equalTo(heads));
+      assertThat(seen, endsWith(connection));
+    }
+  }
+
+  private static String readFor(Socket socket, int milliseconds) throws Exception {
+    socket.setSoTimeout(milliseconds);
+    InputStream input = socket.getInputStream();
+    StringBuilder text = new StringBuilder();
+    byte[] buffer = new byte[4096];
+    try {
+      while (true) {
+        int count = input.read(buffer);
+        if (count < 0) {
+          return text + "end";
+        }
+        text.append(new String(buffer, 0, count, StandardCharsets.ISO_8859_1));
+      }
+    } catch (java.net.SocketTimeoutException e) {
+      return text + "open";
+    }
+  }
+}
