--- a/experiment/src/main/java/org/flamingochute/experiment/package-info.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/package-info.java
@@ -1,2 +1,2 @@
-/** Experiments with the decision code. */
+/** Experiments that drive the decision code with small models of load. */
 package org.flamingochute.experiment;
--- /dev/null
+++ b/experiment/src/main/java/org/flamingochute/experiment/report/package-info.java
@@ -0,0 +1,2 @@
+/** Tables, CSV files and plots of measurements. */
+package org.flamingochute.experiment.report;
