--- a/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
+++ b/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
@@ -57,6 +57,20 @@
   BODY_TOO_LARGE(1213, "the body has more than %s bytes"),
   OPERATOR_UNKNOWN(1214, "operator %s is not known or the key is wrong"),
   OPERATOR_NOT_ALLOWED(1215, "operator %s may not patch the description"),
+
+  // The entry process and its interfaces: 1300 to 1399.
+  COMMAND_LINE(1300, "command line: %s; try --help"),
+  PATH_UNKNOWN(1301, "there is nothing at path \"%s\""),
+  METHOD_NOT_ALLOWED(1302, "method %s is not allowed at path \"%s\""),
+  BODY_MALFORMED(1303, "the body is not a %s: %s"),
+  ENTRY_STARTING(1304, "this entry is starting"),
+  ENTRY_FAILED(1305, "this entry failed: %s"),
+  PEER_SECRET_NEEDED(
+      1306, "section [peer]: key \"secret_file\": needed, since address %s is not loopback"),
+  FILE_UNREADABLE(1307, "section [%s]: key \"%s\": file \"%s\" cannot be read: %s"),
+  FILE_UNWRITABLE(1308, "section [%s]: key \"%s\": file \"%s\" cannot be written: %s"),
+  ADDRESS_UNUSABLE(1309, "section [%s]: key \"%s\": address \"%s\": %s"),
+  TLS_UNUSABLE(1310, "section [peer]: TLS cannot be set up: %s"),
   ;
 
   private final int number;
--- /dev/null
+++ b/entry/src/main/java/org/flamingochute/entry/http/MetricsRoutes.java
@@ -0,0 +1,23 @@
+package org.flamingochute.entry.http;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import org.flamingochute.entry.metrics.MetricsReport;
+
+/** The metrics as JSON: {@code /metrics}. */
+final class MetricsRoutes implements RouteGroup {
+  private static final int OK = 200;
+
+  private final MetricRegistry registry;
+
+  MetricsRoutes(MetricRegistry registry) {
+    this.registry = registry;
+  }
+
+  @Override
+  public Promise<HttpResponse> serve(HttpRequest request, RequestPath path) {
+    return Promise.of(Answers.json(OK, MetricsReport.of(registry)));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/flamingochute/entry/http/ServerObserver.java
@@ -0,0 +1,69 @@
+package org.flamingochute.entry.http;
+
+import com.google.common.flogger.FluentLogger;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.HttpServer;
+import io.activej.http.HttpServerConnection;
+import io.activej.http.MalformedHttpException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.flamingochute.entry.log.LogText;
+
+/** Counts the open connections of all servers and reports messages that are not HTTP. */
+final class ServerObserver implements HttpServer.Inspector {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final FrontMetrics metrics;
+  private final AtomicInteger connections = new AtomicInteger();
+
+  ServerObserver(FrontMetrics metrics) {
+    this.metrics = metrics;
+  }
+
+  /** Returns the number of open connections. */
+  int connections() {
+    return connections.get();
+  }
+
+  @Override
+  public void onAccept(HttpServerConnection connection) {
+    connections.incrementAndGet();
+  }
+
+  @Override
+  public void onDisconnect(HttpServerConnection connection) {
+    connections.decrementAndGet();
+  }
+
+  @Override
+  public void onMalformedHttpRequest(
+      HttpServerConnection connection, MalformedHttpException error, byte[] content) {
+    metrics.malformed().inc();
+    logger.atInfo().log(
+        "event=malformed_http peer=%s message=%s",
+        connection.getRemoteAddress().getHostAddress(), LogText.quoted(error.getMessage()));
+  }
+
+  @Override
+  public void onServletException(HttpRequest request, Exception error) {
+    metrics.failures().inc();
+    logger.atSevere().withCause(error).log("event=request_failed");
+  }
+
+  @Override
+  public void onHttpRequest(HttpRequest request) {}
+
+  @Override
+  public void onHttpResponse(HttpRequest request, HttpResponse response) {}
+
+  @Override
+  public void onHttpResponseComplete(HttpServerConnection connection) {}
+
+  @Override
+  public void onHttpError(HttpServerConnection connection, Exception error) {}
+
+  @Override
+  public <T extends HttpServer.Inspector> T lookup(Class<T> type) {
+    return type.isInstance(this) ? type.cast(this) : null;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/flamingochute/entry/log/KeyValueFormatter.java
@@ -0,0 +1,51 @@
+package org.flamingochute.entry.log;
+
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.Locale;
+import java.util.logging.Formatter;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes each log record as one line: {@code time=... level=... event=... key=value ...}.
+ *
+ * <p>Messages of this system begin with {@code event=}. A message of a library becomes the event
+ * {@code library_message}. An exception adds its class, its message and the innermost call.
+ */
+public final class KeyValueFormatter extends Formatter {
+  private static final DateTimeFormatter TIME =
+      DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss.SSS'Z'").withZone(ZoneOffset.UTC);
+  private static final String EVENT = "event=";
+
+  @Override
+  public String format(LogRecord record) {
+    StringBuilder line = new StringBuilder();
+    line.append("time=").append(TIME.format(record.getInstant()));
+    line.append(" level=").append(record.getLevel().getName().toLowerCase(Locale.ROOT));
+    line.append(' ').append(bodyOf(record));
+    if (record.getThrown() != null) {
+      appendError(line, record.getThrown());
+    }
+    return line.append('\n').toString();
+  }
+
+  private String bodyOf(LogRecord record) {
+    String message = formatMessage(record);
+    if (!message.startsWith(EVENT)) {
+      return "event=library_message logger="
+          + record.getLoggerName()
+          + " message="
+          + LogText.quoted(message);
+    }
+    return message.replace("\n", "\\n").replace("\r", "\\r");
+  }
+
+  private static void appendError(StringBuilder line, Throwable error) {
+    line.append(" error=").append(error.getClass().getName());
+    line.append(" error_message=").append(LogText.quoted(error.getMessage()));
+    StackTraceElement[] trace = error.getStackTrace();
+    if (trace.length > 0) {
+      line.append(" at=").append(LogText.quoted(trace[0].toString()));
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/flamingochute/entry/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Reports on the metrics of the process. */
+package org.flamingochute.entry.metrics;
