Mend three linter warnings in the experiments

Cause: two lines of 101 characters and overloads apart from each other. Change: shorter texts; the recording method is called refused.

--- a/experiment/src/main/java/org/flamingochute/experiment/request/EndpointExperiment.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/request/EndpointExperiment.java
@@ -26,7 +26,7 @@
 
   @Override
   public String description() {
-    return "Waiting of requests at 8 runners of 8 slots for 1, 3 and 9 entries, by endpoint choice.";
+    return "Waiting of requests at 8 runners of 8 slots for 1, 3, 9 entries, by endpoint choice.";
   }
 
   @Override
--- a/experiment/src/main/java/org/flamingochute/experiment/request/RequestRecorder.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/request/RequestRecorder.java
@@ -51,7 +51,7 @@
     histogram.recordValue((long) Math.max(0, milliseconds * MICROSECONDS_PER_MILLISECOND));
   }
 
-  void notRun(QueuedRequest<?> request) {
+  void refused(QueuedRequest<?> request) {
     notRun++;
   }
 
--- a/experiment/src/main/java/org/flamingochute/experiment/request/ShareExperiment.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/request/ShareExperiment.java
@@ -31,7 +31,7 @@
 
   @Override
   public String description() {
-    return "Answered requests of each team in windows of 10 s as part of its max-min share, at twice"
+    return "Answers of each team in windows of 10 s as part of its max-min share, twice"
         + " the capacity.";
   }
 
--- a/experiment/src/main/java/org/flamingochute/experiment/request/SimulatedEntry.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/request/SimulatedEntry.java
@@ -45,8 +45,8 @@
     switch (result) {
       case OfferResult.Queued<SimulatedRequest> queued -> {}
       case OfferResult.QueuedWithEviction<SimulatedRequest> queued ->
-          recorder.notRun(queued.evicted().request());
-      case OfferResult.Refused<SimulatedRequest> refused -> recorder.notRun(request);
+          recorder.refused(queued.evicted().request());
+      case OfferResult.Refused<SimulatedRequest> refused -> recorder.refused(request);
     }
     dispatch();
   }
@@ -63,7 +63,7 @@
       }
       send(next.get(), endpoint.get());
     }
-    queue.expire(events.wholeNow()).forEach(shed -> recorder.notRun(shed.request()));
+    queue.expire(events.wholeNow()).forEach(shed -> recorder.refused(shed.request()));
   }
 
   private void send(QueuedRequest<SimulatedRequest> request, InstanceId endpoint) {
@@ -94,7 +94,7 @@
       queue.observeServiceTime(request.team(), events.now() - sentMilliseconds);
       recorder.answered(request, sentMilliseconds, events.now());
     } else {
-      recorder.notRun(request);
+      recorder.refused(request);
     }
     dispatch();
   }
