--- a/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
+++ b/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
@@ -71,6 +71,29 @@
   BODY_TOO_LARGE(1213, "the body has more than %s bytes"),
   OPERATOR_UNKNOWN(1214, "operator %s is not known or the key is wrong"),
   OPERATOR_NOT_ALLOWED(1215, "operator %s may not patch the description"),
+
+  // The entry process and its interfaces: 1300 to 1399.
+  COMMAND_LINE(1300, "command line: %s; try --help"),
+  PATH_UNKNOWN(1301, "there is nothing at path \"%s\""),
+  METHOD_NOT_ALLOWED(1302, "method %s is not allowed at path \"%s\""),
+  BODY_MALFORMED(1303, "the body is not a %s: %s"),
+  ENTRY_STARTING(1304, "this entry is starting"),
+  ENTRY_FAILED(1305, "this entry failed: %s"),
+  PEER_SECRET_NEEDED(
+      1306, "section [peer]: key \"secret_file\": needed, since address %s is not loopback"),
+  FILE_UNREADABLE(1307, "section [%s]: key \"%s\": file \"%s\" cannot be read: %s"),
+  FILE_UNWRITABLE(1308, "section [%s]: key \"%s\": file \"%s\" cannot be written: %s"),
+  ADDRESS_UNUSABLE(1309, "section [%s]: key \"%s\": address \"%s\": %s"),
+  TLS_UNUSABLE(1310, "section [peer]: TLS cannot be set up: %s"),
+
+  // Stand-ins, load tool and the operators' command line: 1400 to 1499.
+  STAND_IN_CANNOT_LISTEN(1400, "address %s: cannot listen: %s"),
+  STAND_IN_BODY_MALFORMED(1401, "%s: the body cannot be read: %s"),
+  STAND_IN_UNKNOWN_INSTANCE(1402, "instance \"%s\" is not registered"),
+  STAND_IN_PARAMETER(1403, "%s: parameter \"%s\" has value \"%s\", which is not %s"),
+  STAND_IN_UNREACHABLE(1404, "%s at %s cannot be reached: %s"),
+  FILE_NOT_WRITABLE(1405, "%s: cannot be written: %s"),
+  TOOL_COMMAND_LINE(1406, "command line: %s"),
   ;
 
   private final int number;
