--- a/decision/src/main/java/org/flamingochute/decision/agreement/ClaimTable.java
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/ClaimTable.java
@@ -65,6 +65,10 @@
     return FoldResults.accepted();
   }
 
+  synchronized Optional<ClaimImage> claim(TeamId team, IdempotencyKey key) {
+    return Optional.ofNullable(claims.get(new ClaimKey(team, key)));
+  }
+
   private static FoldResult refusal(ClaimKey key, ClaimImage earlier, IdempotencyClaimed claim) {
     if (!earlier.getClaim().getRequestDigest().equals(claim.getRequestDigest())) {
       return FoldResults.refused(ErrorCode.CLAIM_OTHER_REQUEST, key.key(), key.team());
@@ -172,10 +176,6 @@
         entry.key(), claim.toBuilder().setSettled(withoutAnswer(claim.getSettled())).build());
   }
 
-  synchronized Optional<ClaimImage> claim(TeamId team, IdempotencyKey key) {
-    return Optional.ofNullable(claims.get(new ClaimKey(team, key)));
-  }
-
   synchronized List<ClaimImage> image() {
     return new ArrayList<>(claims.values());
   }
--- a/decision/src/test/java/org/flamingochute/decision/agreement/LogFixture.java
+++ b/decision/src/test/java/org/flamingochute/decision/agreement/LogFixture.java
@@ -34,7 +34,9 @@
 /** A log in memory that folds each record as it is appended, one millisecond after the other. */
 public final class LogFixture {
 
+  /** The state at the end of the log. */
   public final AgreedState state = AgreedState.empty();
+
   private long nextOffset;
   private long timeMilliseconds = 1_000_000;
   private int nextId;
@@ -48,14 +50,17 @@
     return log;
   }
 
+  /** Lets time pass. */
   public void advance(long milliseconds) {
     timeMilliseconds += milliseconds;
   }
 
+  /** Returns the time of the next record. */
   public long timeMilliseconds() {
     return timeMilliseconds;
   }
 
+  /** Appends and folds a record; one without an id gets one. */
   public FoldResult append(LogRecord.Builder record) {
     if (record.getRecordId().isEmpty()) {
       record.setRecordId("r" + nextId++);
@@ -63,14 +68,17 @@
     return appendBytes(record.setFormatVersion(AgreedState.FORMAT_VERSION).build().toByteArray());
   }
 
+  /** Appends and folds the bytes of a record. */
   public FoldResult appendBytes(byte[] record) {
     return state.apply(nextOffset++, timeMilliseconds++, record);
   }
 
+  /** Appends a patch by the operator ana at the version in force. */
   public FoldResult patch(SettingChange... changes) {
     return append(patchAt(state.description().getVersion(), "ana", List.of(changes)));
   }
 
+  /** Returns a patch with a new id. */
   public LogRecord.Builder patchAt(long base, String operator, List<SettingChange> changes) {
     return LogRecord.newBuilder()
         .setPatch(
@@ -81,6 +89,7 @@
                 .addAllChanges(changes));
   }
 
+  /** Returns the patch that puts the description into force. */
   public static LogRecord.Builder firstPatch() {
     List<SettingChange> changes =
         FleetDifference.between(FleetDescription.getDefaultInstance(), FleetFixture.description());
@@ -92,28 +101,34 @@
                 .addAllChanges(changes));
   }
 
+  /** Returns a record with which a member joins. */
   public static LogRecord.Builder join(String member) {
     return LogRecord.newBuilder()
         .setMemberJoined(
             MemberJoined.newBuilder().setIncarnation(member).setInstance("entry-" + member));
   }
 
+  /** Returns a record with which a member leaves. */
   public static LogRecord.Builder leave(String member) {
     return LogRecord.newBuilder().setMemberLeft(MemberLeft.newBuilder().setIncarnation(member));
   }
 
+  /** Returns a record of a member that is gone. */
   public static LogRecord.Builder gone(String member) {
     return LogRecord.newBuilder().setMemberGone(MemberGone.newBuilder().setIncarnation(member));
   }
 
+  /** Returns a record without effect of its own. */
   public static LogRecord.Builder tick() {
     return LogRecord.newBuilder().setTick(Tick.getDefaultInstance());
   }
 
+  /** Returns a record with a statement of holdings. */
   public static LogRecord.Builder statement(HoldingsStated statement) {
     return LogRecord.newBuilder().setHoldingsStated(statement);
   }
 
+  /** Returns a claim of an idempotency key. */
   public static LogRecord.Builder claim(String team, String key, String member, String digest) {
     return LogRecord.newBuilder()
         .setIdempotencyClaimed(
@@ -124,6 +139,7 @@
                 .setRequestDigest(digest));
   }
 
+  /** Returns the end of a claim. */
   public static LogRecord.Builder settle(String team, String key, String member, Outcome outcome) {
     return LogRecord.newBuilder()
         .setIdempotencySettled(
@@ -134,6 +150,7 @@
                 .setOutcome(outcome));
   }
 
+  /** Returns a job of the team shop for the pool prints. */
   public static JobSubmitted.Builder job(String job, boolean idempotent) {
     return JobSubmitted.newBuilder()
         .setJob(job)
@@ -142,15 +159,18 @@
         .setIdempotent(idempotent);
   }
 
+  /** Returns a submission. */
   public static LogRecord.Builder submit(JobSubmitted.Builder job) {
     return LogRecord.newBuilder().setJobSubmitted(job);
   }
 
+  /** Returns a cancellation. */
   public static LogRecord.Builder cancel(String team, String... jobs) {
     return LogRecord.newBuilder()
         .setJobsCancelled(JobsCancelled.newBuilder().setTeam(team).addAllJobs(List.of(jobs)));
   }
 
+  /** Returns a claim of a pool. */
   public static LogRecord.Builder placer(String pool, String member, long replacedEpoch) {
     return LogRecord.newBuilder()
         .setPlacerClaimed(
@@ -160,6 +180,7 @@
                 .setReplacedEpoch(replacedEpoch));
   }
 
+  /** Returns a start of an attempt in the current escrow epoch. */
   public LogRecord.Builder start(
       String job, int attempt, String worker, String member, long epoch) {
     long escrowEpoch = state.escrow(new TeamId("shop")).get().getEpoch();
@@ -174,6 +195,7 @@
                 .setEscrowEpoch(escrowEpoch));
   }
 
+  /** Returns the end of an attempt. */
   public static LogRecord.Builder end(
       String job, int attempt, String worker, AttemptResult result) {
     return LogRecord.newBuilder()
@@ -185,6 +207,7 @@
                 .setResult(result));
   }
 
+  /** Returns a live instance. */
   public static InstanceObserved.Builder instance(String name, String pool, String rack) {
     boolean isWorker = pool.equals("prints");
     return InstanceObserved.newBuilder()
@@ -196,10 +219,12 @@
         .setState(InstanceState.INSTANCE_LIVE);
   }
 
+  /** Returns an observation. */
   public static LogRecord.Builder observe(InstanceObserved.Builder observed) {
     return LogRecord.newBuilder().setInstanceObserved(observed);
   }
 
+  /** Returns a request to stop an instance. */
   public static InstanceStopRequested.Builder stopRequest(
       String operation, String instance, String pool, StopPurpose purpose) {
     return InstanceStopRequested.newBuilder()
@@ -209,10 +234,12 @@
         .setPurpose(purpose);
   }
 
+  /** Returns the record of a stop request. */
   public static LogRecord.Builder stop(InstanceStopRequested.Builder request) {
     return LogRecord.newBuilder().setInstanceStopRequested(request);
   }
 
+  /** Returns a step of a stop. */
   public static LogRecord.Builder step(String operation, String instance, StopStep step) {
     return LogRecord.newBuilder()
         .setInstanceStepDone(
@@ -222,6 +249,7 @@
                 .setStep(step));
   }
 
+  /** Returns a move between pools. */
   public static LogRecord.Builder move(String operation, String instance, String from, String to) {
     return LogRecord.newBuilder()
         .setInstanceMoved(
