Answer callers and operators over HTTP, bad input included

HttpFrontTest: 64 cases against a fake node (routes, idempotence, statuses, malformed input, garbage, limits on headers, bodies and connections). Mended on the way, each shown failing first: a malformed escape in the path was answered as unknown (URLDecoder throws IllegalArgumentException), and a malformed chunk was not counted (ActiveJ reports it as an HTTP error, not as a malformed request).

--- a/entry/src/main/java/org/flamingochute/entry/http/InputGuard.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/InputGuard.java
@@ -57,11 +57,18 @@
     if (length != null && !isWithin(length, maximum)) {
       return Promise.of(Either.left(tooLarge(maximum)));
     }
-    return request.loadBody(maximum).then((body, error) -> Promise.of(loaded(body, error)));
+    return request
+        .loadBody(maximum)
+        .then((body, error) -> Promise.of(loaded(request, body, error)));
   }
 
-  private Either<ErrorReport, byte[]> loaded(ByteBuf body, Exception error) {
+  private Either<ErrorReport, byte[]> loaded(HttpRequest request, ByteBuf body, Exception error) {
     int maximum = limits.getMaximumBodyBytes();
+    if (error != null && request.getConnection().isClosed()) {
+      // The server observer has counted it; no one reads the answer.
+      return Either.left(
+          ErrorReport.of(ErrorCode.BODY_MALFORMED, "whole request", error.getMessage()));
+    }
     if (error != null || body.readRemaining() > maximum) {
       return Either.left(tooLarge(maximum));
     }
--- a/entry/src/main/java/org/flamingochute/entry/http/RequestPath.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/RequestPath.java
@@ -32,7 +32,7 @@
   Optional<String> part(int index) {
     try {
       return Optional.of(HttpUtils.urlDecode(rawPart(index).replace("+", "%2B"), "UTF-8"));
-    } catch (MalformedHttpException e) {
+    } catch (MalformedHttpException | IllegalArgumentException e) {
       return Optional.empty();
     }
   }
--- a/entry/src/main/java/org/flamingochute/entry/http/ServerObserver.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/ServerObserver.java
@@ -38,6 +38,10 @@
   @Override
   public void onMalformedHttpRequest(
       HttpServerConnection connection, MalformedHttpException error, byte[] content) {
+    countMalformed(connection, error);
+  }
+
+  private void countMalformed(HttpServerConnection connection, Exception error) {
     metrics.malformed().inc();
     logger.atInfo().log(
         "event=malformed_http peer=%s message=%s",
@@ -60,7 +64,11 @@
   public void onHttpResponseComplete(HttpServerConnection connection) {}
 
   @Override
-  public void onHttpError(HttpServerConnection connection, Exception error) {}
+  public void onHttpError(HttpServerConnection connection, Exception error) {
+    if (error instanceof MalformedHttpException) {
+      countMalformed(connection, error);
+    }
+  }
 
   @Override
   public <T extends HttpServer.Inspector> T lookup(Class<T> type) {
--- a/entry/src/main/java/org/flamingochute/entry/log/KeyValueFormatter.java
+++ b/entry/src/main/java/org/flamingochute/entry/log/KeyValueFormatter.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
+import java.util.regex.Pattern;
 
 /**
  * Writes each log record as one line: {@code time=... level=... event=... key=value ...}.
@@ -15,6 +16,10 @@
 public final class KeyValueFormatter extends Formatter {
   private static final DateTimeFormatter TIME =
       DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss.SSS'Z'").withZone(ZoneOffset.UTC);
+
+  /** What Flogger appends to messages with a rate limit. */
+  private static final Pattern CONTEXT = Pattern.compile(" \\[CONTEXT [^\\]]*\\]$");
+
   private static final String EVENT = "event=";
 
   @Override
@@ -30,7 +35,7 @@
   }
 
   private String bodyOf(LogRecord record) {
-    String message = formatMessage(record);
+    String message = CONTEXT.matcher(formatMessage(record)).replaceFirst("");
     if (!message.startsWith(EVENT)) {
       return "event=library_message logger="
           + record.getLoggerName()
--- /dev/null
+++ b/entry/src/test/java/org/flamingochute/entry/http/HttpFrontTest.java
@@ -0,0 +1,447 @@
+package org.flamingochute.entry.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.flamingochute.decision.error.ErrorCode;
+import org.flamingochute.decision.error.ErrorReport;
+import org.flamingochute.decision.identity.IdempotencyKey;
+import org.flamingochute.engine.CallerOutcome;
+import org.flamingochute.engine.CallerRequest;
+import org.flamingochute.entry.FakeEntryNode;
+import org.flamingochute.platform.HeaderField;
+import org.flamingochute.platform.http.EventLoopGroup;
+import org.flamingochute.schema.AuditEntry;
+import org.flamingochute.schema.LimitSection;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** The HTTP interface in front of a fake node. */
+class HttpFrontTest {
+  private static final int BODY_LIMIT = 1024;
+  private static final int CONNECTION_LIMIT = 8;
+
+  private final EventLoopGroup loops = EventLoopGroup.start("front", 2);
+  private final FakeEntryNode node = new FakeEntryNode();
+  private final NodeReference reference = new NodeReference();
+  private final MetricRegistry registry = new MetricRegistry();
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private HttpFront front;
+  private InetSocketAddress address;
+
+  @BeforeEach
+  void listen() throws IOException {
+    reference.set(node);
+    front =
+        HttpFront.builder()
+            .loops(loops)
+            .address(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+            .limits(
+                LimitSection.newBuilder()
+                    .setMaximumHeaderBytes(2048)
+                    .setMaximumBodyBytes(BODY_LIMIT)
+                    .setMaximumConnections(CONNECTION_LIMIT)
+                    .build())
+            .node(reference)
+            .registry(registry)
+            .build();
+    address = front.listen();
+  }
+
+  @AfterEach
+  void close() {
+    client.close();
+    front.close();
+    loops.close();
+  }
+
+  private HttpResponse<String> send(String method, String path, String body, String... headers)
+      throws Exception {
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + address.getPort() + path))
+            .method(
+                method,
+                body == null
+                    ? HttpRequest.BodyPublishers.noBody()
+                    : HttpRequest.BodyPublishers.ofString(body));
+    for (int i = 0; i < headers.length; i += 2) {
+      request.header(headers[i], headers[i + 1]);
+    }
+    return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  private static String outcome(HttpResponse<?> response) {
+    return response.headers().firstValue("Flamingochute-Outcome").orElse("");
+  }
+
+  @Test
+  void requestReachesTheNodeAndItsAnswerTheCaller() throws Exception {
+    node.answer =
+        request ->
+            new CallerOutcome.Answered(
+                201,
+                List.of(
+                    new HeaderField("X-Answer", "yes"),
+                    new HeaderField("Flamingochute-Outcome", "forged")),
+                request.body());
+    HttpResponse<String> response =
+        send(
+            "POST",
+            "/services/quotes/print%2Frun?club=a%20b&x",
+            "jersey",
+            "Flamingochute-Key",
+            "k",
+            "Flamingochute-Timeout-Milliseconds",
+            "1234",
+            "Idempotency-Key",
+            "order-1",
+            "X-Kept",
+            "1");
+    assertThat(response.statusCode(), equalTo(201));
+    assertThat(response.body(), equalTo("jersey"));
+    assertThat(response.headers().allValues("Flamingochute-Outcome"), equalTo(List.of("answered")));
+    assertThat(response.headers().firstValue("X-Answer"), equalTo(Optional.of("yes")));
+    CallerRequest request = node.requests.getFirst();
+    assertThat(request.service().value(), equalTo("quotes"));
+    assertThat(request.path(), equalTo("/print%2Frun?club=a%20b&x"));
+    assertThat(request.key(), equalTo(Optional.of("k")));
+    assertThat(request.timeoutMilliseconds(), equalTo(1234L));
+    assertThat(request.idempotent(), is(false));
+    assertThat(request.idempotencyKey(), equalTo(Optional.of(new IdempotencyKey("order-1"))));
+    assertThat(request.headers().contains(new HeaderField("X-Kept", "1")), is(true));
+    boolean leaked =
+        request.headers().stream().anyMatch(h -> h.name().startsWith("Flamingochute-"));
+    assertThat(leaked, is(false));
+  }
+
+  static Stream<Arguments> idempotence() {
+    return Stream.of(
+        arguments("GET", null, true),
+        arguments("HEAD", null, true),
+        arguments("PUT", null, true),
+        arguments("DELETE", null, true),
+        arguments("POST", null, false),
+        arguments("PATCH", null, false),
+        arguments("POST", "true", true),
+        arguments("GET", "false", false));
+  }
+
+  @ParameterizedTest
+  @MethodSource("idempotence")
+  void idempotenceFollowsTheMethodUnlessStated(String method, String stated, boolean expected)
+      throws Exception {
+    if (stated == null) {
+      send(method, "/services/s", null);
+    } else {
+      send(method, "/services/s", null, "Flamingochute-Idempotent", stated);
+    }
+    CallerRequest request = node.requests.getFirst();
+    assertThat(request.idempotent(), equalTo(expected));
+    assertThat(request.timeoutMilliseconds(), equalTo(9000L));
+    assertThat(request.path(), equalTo("/"));
+  }
+
+  static Stream<Arguments> refusals() {
+    return Stream.of(
+        arguments(ErrorCode.KEY_MISSING, 401),
+        arguments(ErrorCode.KEY_UNKNOWN, 401),
+        arguments(ErrorCode.SERVICE_UNKNOWN, 404),
+        arguments(ErrorCode.CLAIM_TAKEN, 409),
+        arguments(ErrorCode.CLAIM_OTHER_REQUEST, 409),
+        arguments(ErrorCode.QUEUE_FULL, 429),
+        arguments(ErrorCode.CAP_REACHED, 429),
+        arguments(ErrorCode.DEADLINE_PASSED, 429),
+        arguments(ErrorCode.NO_ENDPOINT, 503),
+        arguments(ErrorCode.ENTRY_NOT_FRESH, 503),
+        arguments(ErrorCode.ENTRY_STOPPING, 503),
+        arguments(ErrorCode.LOG_UNAVAILABLE, 503));
+  }
+
+  @ParameterizedTest
+  @MethodSource("refusals")
+  void refusalIsNotRunWithTheStatusOfItsCode(ErrorCode code, int status) throws Exception {
+    node.answer =
+        request -> new CallerOutcome.NotRun(ErrorReport.of(code, "a", "b", "c", "d", "e"));
+    HttpResponse<String> response = send("GET", "/services/s/x", null);
+    assertThat(response.statusCode(), equalTo(status));
+    assertThat(outcome(response), equalTo("not-run"));
+    assertThat(response.body(), containsString("\"code\": " + code.number()));
+    assertThat(response.body(), containsString("\"outcome\": \"not-run\""));
+  }
+
+  @ParameterizedTest
+  @EnumSource
+  void whatMayHaveRunIsUnknown(Ending ending) throws Exception {
+    node.answer = ending::end;
+    HttpResponse<String> response = send("POST", "/services/s/x", "b");
+    assertThat(response.statusCode(), equalTo(504));
+    assertThat(outcome(response), equalTo("unknown"));
+  }
+
+  /** Ways in which the node can end a request that may have run. */
+  enum Ending {
+    UNKNOWN,
+    EXCEPTION;
+
+    CallerOutcome end(CallerRequest request) {
+      if (this == EXCEPTION) {
+        throw new IllegalStateException("broken");
+      }
+      return new CallerOutcome.Unknown(ErrorReport.of(ErrorCode.OUTCOME_UNKNOWN, "late"));
+    }
+  }
+
+  static Stream<Arguments> malformedRequests() {
+    String large = "x".repeat(BODY_LIMIT + 1);
+    return Stream.of(
+        arguments("GET", "/services/", null, "A", "b", 400),
+        arguments("GET", "/services/s", null, "Flamingochute-Timeout-Milliseconds", "soon", 400),
+        arguments("GET", "/services/s", null, "Flamingochute-Timeout-Milliseconds", "0", 400),
+        arguments("GET", "/services/s", null, "Flamingochute-Timeout-Milliseconds", "-5", 400),
+        arguments("GET", "/services/s", null, "Flamingochute-Idempotent", "maybe", 400),
+        arguments("POST", "/services/s", "b", "Idempotency-Key", "k".repeat(201), 400),
+        arguments("GET", "/services/s", null, "X-Long", "v".repeat(3000), 400),
+        arguments("POST", "/services/s", large, "A", "b", 413),
+        arguments("GET", "/services/%ZZ", null, "A", "b", 400),
+        arguments("POST", "/jobs", "{", "Flamingochute-Key", FakeEntryNode.KEY, 400),
+        arguments("POST", "/jobs", "{\"pol\":\"a\"}", "Flamingochute-Key", "k", 400),
+        arguments("POST", "/jobs", large, "Flamingochute-Key", FakeEntryNode.KEY, 413),
+        arguments("POST", "/jobs/cancel", "{\"jobs\":[\"\"]}", "Flamingochute-Key", "k", 400),
+        arguments("GET", "/nothing", null, "A", "b", 404),
+        arguments("GET", "/", null, "A", "b", 404),
+        arguments("GET", "/health/other", null, "A", "b", 404),
+        arguments("DELETE", "/jobs/j1", null, "Flamingochute-Key", "k", 405),
+        arguments("GET", "/jobs/j1/x", null, "Flamingochute-Key", "k", 404),
+        arguments("POST", "/jobs", "{}", "A", "b", 401),
+        arguments("GET", "/operator/status", null, "Flamingochute-Operator", "ana", 401));
+  }
+
+  @ParameterizedTest
+  @MethodSource("malformedRequests")
+  void malformedInputGetsAnErrorBodyAndTheServerGoesOn(
+      String method, String path, String body, String header, String value, int status)
+      throws Exception {
+    // A path that java.net.URI refuses is sent raw.
+    if (path.contains("%ZZ")) {
+      String raw = raw(method + " " + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
+      assertThat(raw, startsWith("HTTP/1.1 400"));
+    } else {
+      HttpResponse<String> response = send(method, path, body, header, value);
+      assertThat(response.statusCode(), equalTo(status));
+      assertThat(response.body(), containsString("\"message\""));
+    }
+    assertThat(node.requests.isEmpty() && node.calls.isEmpty(), is(true));
+    assertThat(send("GET", "/health/live", null).statusCode(), equalTo(200));
+  }
+
+  private String raw(String text) throws IOException {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.setSoTimeout(3000);
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      StringBuilder answer = new StringBuilder();
+      while (answer.indexOf("\r\n\r\n") < 0) {
+        int value = socket.getInputStream().read();
+        if (value < 0) {
+          break;
+        }
+        answer.append((char) value);
+      }
+      return answer.toString();
+    }
+  }
+
+  static Stream<String> garbage() {
+    return Stream.of(
+        "\0\1\2\3\r\n\r\n",
+        "FETCH / HTTP/1.1\r\n\r\n",
+        "GET / HTTP/7.0\r\n\r\n",
+        "POST /services/s HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
+        "GET / HTTP/1.1\r\nNoColon\r\n\r\n",
+        "POST /jobs HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        "POST /jobs HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+        "GET / HTTP/1.1\r\nA: " + "y".repeat(100_000) + "\r\n\r\n",
+        "GET / HTTP/1.1\r\n" + "A: b\r\n".repeat(500) + "\r\n");
+  }
+
+  @ParameterizedTest
+  @MethodSource("garbage")
+  void whatIsNotHttpIsRefusedAndCounted(String text) throws Exception {
+    String answer;
+    try {
+      answer = raw(text);
+    } catch (java.net.SocketException e) {
+      answer = "";
+    }
+    settle();
+    assertThat(answer.isEmpty() || answer.startsWith("HTTP/1.1 4"), is(true));
+    assertThat(node.requests.isEmpty(), is(true));
+    assertThat(registry.counter("http.malformed").getCount(), greaterThan(0L));
+    assertThat(send("GET", "/health/live", null).statusCode(), equalTo(200));
+  }
+
+  /** Lets the loops finish what they began with a connection that they closed. */
+  private void settle() {
+    for (int i = 0; i < 10; i++) {
+      loops.loops().forEach(loop -> CompletableFuture.runAsync(() -> {}, loop).join());
+    }
+  }
+
+  static Stream<Arguments> chunkedBodies() {
+    String large = "x".repeat(BODY_LIMIT + 1);
+    return Stream.of(
+        arguments("401\r\n" + large + "\r\n0\r\n\r\n", "HTTP/1.1 413"),
+        arguments("3\r\nabc\r\n0\r\n\r\n", "HTTP/1.1 200"));
+  }
+
+  @ParameterizedTest
+  @MethodSource("chunkedBodies")
+  void chunkedBodyIsReadWithinTheLimit(String chunks, String expected) throws Exception {
+    String head = "POST /services/s HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assertThat(raw(head + chunks), startsWith(expected));
+    assertThat(send("GET", "/health/live", null).statusCode(), equalTo(200));
+  }
+
+  @Test
+  void requestWhoseBodyIsCutIsNotRun() throws Exception {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      String cut = "POST /services/s HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc";
+      socket.getOutputStream().write(cut.getBytes(StandardCharsets.ISO_8859_1));
+      socket.shutdownOutput();
+      socket.setSoTimeout(3000);
+      socket.getInputStream().readAllBytes();
+    }
+    settle();
+    assertThat(node.requests.isEmpty(), is(true));
+    assertThat(registry.counter("http.malformed").getCount(), greaterThan(0L));
+  }
+
+  @Test
+  void connectionsOverTheLimitAreClosed() throws Exception {
+    List<Socket> sockets = new ArrayList<>();
+    try {
+      for (int i = 0; i < CONNECTION_LIMIT * 3; i++) {
+        Socket socket = new Socket(address.getAddress(), address.getPort());
+        socket.setSoTimeout(3000);
+        sockets.add(socket);
+        byte[] request = "GET /health/live HTTP/1.1\r\nHost: a\r\n\r\n".getBytes();
+        try {
+          socket.getOutputStream().write(request);
+          socket.getInputStream().read();
+        } catch (IOException e) {
+          // The connection was refused.
+        }
+      }
+      assertThat(registry.counter("http.refused_connections").getCount(), greaterThan(0L));
+    } finally {
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+    }
+  }
+
+  @Test
+  void jobsAreSubmittedShownAndCancelled() throws Exception {
+    String[] key = {"Flamingochute-Key", FakeEntryNode.KEY};
+    HttpResponse<String> submitted = send("POST", "/jobs", "{\"pool\":\"proofs\"}", key);
+    assertThat(submitted.statusCode(), equalTo(202));
+    assertThat(submitted.body(), containsString("\"job\": \"j1\""));
+    assertThat(send("GET", "/jobs/j1", null, key).statusCode(), equalTo(200));
+    assertThat(send("GET", "/jobs/j2", null, key).statusCode(), equalTo(404));
+    assertThat(
+        send("POST", "/jobs/cancel", "{\"jobs\":[\"j1\",\"j2\"]}", key).statusCode(), equalTo(202));
+    assertThat(node.calls, equalTo(List.of("submit proofs", "cancel [j1, j2]")));
+  }
+
+  @Test
+  void operatorsSeeAndPatch() throws Exception {
+    String[] keys = {
+      "Flamingochute-Operator", FakeEntryNode.OPERATOR,
+      "Flamingochute-Operator-Key", FakeEntryNode.OPERATOR_KEY
+    };
+    HttpResponse<String> text = send("GET", "/operator/description", null, keys);
+    assertThat(text.statusCode(), equalTo(200));
+    assertThat(text.headers().firstValue("Flamingochute-Version"), equalTo(Optional.of("7")));
+    HttpResponse<String> json = send("GET", "/operator/description?format=json", null, keys);
+    assertThat(json.body(), containsString("\"version\": \"7\""));
+    assertThat(
+        send("GET", "/operator/description?format=x", null, keys).statusCode(), equalTo(400));
+    assertThat(send("GET", "/operator/history", null, keys).body(), containsString("p1"));
+    assertThat(send("GET", "/operator/status", null, keys).body(), containsString("\"ready\""));
+    assertThat(send("POST", "/operator/status", "", keys).statusCode(), equalTo(405));
+    HttpResponse<String> patched =
+        send("POST", "/operator/patches", "{\"patchId\":\"p\",\"operatorName\":\"eve\"}", keys);
+    assertThat(patched.statusCode(), equalTo(200));
+    assertThat(patched.body(), containsString("\"operatorName\": \"ana\""));
+  }
+
+  static Stream<Arguments> refusedPatches() {
+    return Stream.of(
+        arguments(ErrorCode.PATCH_STALE_BASE, 409),
+        arguments(ErrorCode.PATCH_EMPTY, 422),
+        arguments(ErrorCode.FLEET_INVALID, 422));
+  }
+
+  @ParameterizedTest
+  @MethodSource("refusedPatches")
+  void refusedPatchHasTheStatusOfItsReason(ErrorCode code, int status) throws Exception {
+    ErrorReport report = ErrorReport.of(code, "p", "1", "2", "3");
+    node.patchAnswer =
+        patch -> Either.right(AuditEntry.newBuilder().setResult(report.toString()).build());
+    String[] keys = {"Flamingochute-Operator", "a", "Flamingochute-Operator-Key", "b"};
+    assertThat(send("POST", "/operator/patches", "{}", keys).statusCode(), equalTo(status));
+    node.patchAnswer = patch -> Either.left(report);
+    assertThat(send("POST", "/operator/patches", "{}", keys).statusCode(), equalTo(status));
+  }
+
+  @Test
+  void healthFollowsTheNode() throws Exception {
+    assertThat(send("GET", "/health/ready", null).statusCode(), equalTo(200));
+    node.ready = false;
+    assertThat(send("GET", "/health/ready", null).statusCode(), equalTo(503));
+    assertThat(send("GET", "/health/live", null).statusCode(), equalTo(200));
+  }
+
+  @Test
+  void metricsAreJson() throws Exception {
+    send("GET", "/services/s/x", null);
+    HttpResponse<String> response = send("GET", "/metrics", null);
+    assertThat(response.body(), containsString("\"http.outcome.answered\": 1.0"));
+    assertThat(response.body(), containsString("\"http.service_request_time\": {"));
+  }
+
+  @Test
+  void nothingIsRunBeforeTheNodeExists() throws Exception {
+    reference.set(null);
+    HttpResponse<String> response = send("GET", "/services/s/x", null);
+    assertThat(response.statusCode(), equalTo(503));
+    assertThat(outcome(response), equalTo("not-run"));
+    assertThat(send("GET", "/health/ready", null).statusCode(), equalTo(503));
+  }
+}
