Add the load tool and the comparison of callers and stand-ins

Cause: the demonstration and the measurements need callers of both companies' kinds that retry as careful clients do, and a judgement that joins what callers saw with what runners and workers saw by the tag of each call.

A call was not run only when none of its tries may have run; an order is repeated with its key.

The exchange client's send is made public, since the tools need exchanges without a request id of their own.

Ruled out: reports of intervals from several processes to join team concurrency (clock readings of two processes; one process counts exactly).

--- a/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
+++ b/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
@@ -80,6 +80,7 @@
   STAND_IN_UNREACHABLE(1404, "%s at %s cannot be reached: %s"),
   FILE_NOT_WRITABLE(1405, "%s: cannot be written: %s"),
   COMMAND_LINE(1406, "command line: %s"),
+  REPORT_MALFORMED(1407, "%s: the report cannot be read: %s"),
   ;
 
   private final int number;
--- /dev/null
+++ b/load/src/main/java/org/flamingochute/load/LoadClients.java
@@ -0,0 +1,80 @@
+package org.flamingochute.load;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.flamingochute.decision.error.ErrorCode;
+import org.flamingochute.decision.error.ErrorReport;
+import org.flamingochute.platform.Timers;
+import org.flamingochute.platform.http.EventLoopGroup;
+import org.flamingochute.platform.http.ExchangeClient;
+import org.flamingochute.platform.http.ExchangeLimits;
+import org.flamingochute.platform.http.ExchangeListener;
+import org.flamingochute.platform.http.NumericAddress;
+import org.flamingochute.standin.ThreadTimers;
+
+/** The connections, clock and balancer that all callers of one run share. */
+final class LoadClients implements AutoCloseable {
+
+  private static final int CONNECTIONS_TO_ENTRY = 1024;
+  private static final int WAITING_FOR_CONNECTION = 100_000;
+  private static final int MAXIMUM_ANSWER_BYTES = 32 * 1024 * 1024;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+  private final EventLoopGroup group;
+  private final ExchangeClient client;
+  private final Timers timers = new ThreadTimers();
+  private final Balancer balancer;
+
+  private LoadClients(List<NumericAddress> entries, int threads) {
+    group = EventLoopGroup.start("load", threads);
+    ExchangeLimits limits =
+        ExchangeLimits.builder()
+            .maximumConnections(CONNECTIONS_TO_ENTRY)
+            .maximumWaiting(WAITING_FOR_CONNECTION)
+            .maximumAnswerBytes(MAXIMUM_ANSWER_BYTES)
+            .connectTimeout(CONNECT_TIMEOUT)
+            .build();
+    client = new ExchangeClient(group, limits, ExchangeListener.NONE);
+    balancer = new Balancer(entries, timers);
+  }
+
+  /**
+   * Creates the clients.
+   *
+   * @param entries addresses of the entries, separated by commas
+   */
+  static LoadClients create(String entries, int threads) throws LoadException {
+    List<NumericAddress> addresses = new ArrayList<>();
+    for (String entry : entries.split(",")) {
+      Optional<NumericAddress> address = NumericAddress.parse(entry);
+      if (address.isEmpty()) {
+        throw new LoadException(
+            ErrorReport.of(
+                ErrorCode.COMMAND_LINE,
+                "--entries: value \"" + entry + "\" is not an IP address and port"));
+      }
+      addresses.add(address.get());
+    }
+    return new LoadClients(addresses, threads);
+  }
+
+  ExchangeClient client() {
+    return client;
+  }
+
+  Timers timers() {
+    return timers;
+  }
+
+  Balancer balancer() {
+    return balancer;
+  }
+
+  @Override
+  public void close() {
+    client.close();
+    group.close();
+  }
+}
--- /dev/null
+++ b/load/src/test/java/org/flamingochute/load/HttpCallSenderTest.java
@@ -0,0 +1,47 @@
+package org.flamingochute.load;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import java.util.List;
+import org.flamingochute.platform.HeaderField;
+import org.flamingochute.platform.http.ExchangeResult;
+import org.flamingochute.platform.http.UnknownCause;
+import org.flamingochute.schema.CallKind;
+import org.flamingochute.standin.TaggedAnswer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class HttpCallSenderTest {
+
+  private static final Call CALL =
+      new Call("t1", CallKind.CALL_INTERACTIVE, "quotes", "rosario", "", 40, 1000);
+
+  @ParameterizedTest(name = "status {0}, outcome {1}, answer to {2} is {3}")
+  @CsvSource({
+    "200, answered, t1, 'Answered[status=200, whole=true]'",
+    "200, answered, t2, 'Answered[status=200, whole=false]'",
+    "200, '', t1, 'Answered[status=200, whole=true]'",
+    "503, not-run, '', 'NotRun[status=503]'",
+    "429, not-run, '', 'NotRun[status=429]'",
+    "504, unknown, '', 'Unknown[status=504, detail=status 504]'",
+    "200, unknown, t1, 'Unknown[status=200, detail=status 200]'",
+    "503, '', '', 'Unknown[status=503, detail=status 503]'",
+    "409, '', '', 'Unknown[status=409, detail=status 409]'",
+  })
+  void answerIsJudged(int status, String outcome, String answerTo, String judged) {
+    List<HeaderField> headers =
+        outcome.isEmpty() ? List.of() : List.of(new HeaderField("flamingochute-outcome", outcome));
+    byte[] body = answerTo.isEmpty() ? new byte[0] : TaggedAnswer.create(answerTo, 40);
+    TryOutcome result =
+        HttpCallSender.judge(CALL, new ExchangeResult.Answered(status, headers, body));
+    assertThat(result.toString(), equalTo(judged));
+  }
+
+  @ParameterizedTest(name = "cause {0} is unknown")
+  @CsvSource({"CUT", "LATE", "MALFORMED", "CROSSED"})
+  void missingAnswerIsUnknown(UnknownCause cause) {
+    TryOutcome result = HttpCallSender.judge(CALL, new ExchangeResult.Unknown(cause, "x"));
+    assertThat(result, equalTo(new TryOutcome.Unknown(0, cause + ": x")));
+  }
+}
--- a/standin/src/main/java/org/flamingochute/standin/http/EndpointStandIn.java
+++ b/standin/src/main/java/org/flamingochute/standin/http/EndpointStandIn.java
@@ -7,7 +7,8 @@
 import io.activej.http.HttpResponse;
 import io.activej.http.RoutingServlet;
 import io.activej.promise.Promise;
-import java.util.concurrent.ExecutionException;
+import io.activej.reactor.Reactor;
+import java.util.Optional;
 import org.flamingochute.decision.error.ErrorCode;
 import org.flamingochute.decision.error.ErrorReport;
 import org.flamingochute.platform.Timers;
@@ -38,7 +39,6 @@
   private static final int DATA_CENTRES = 3;
   private static final int WORKERS_IN_RACK = 4;
   private static final int MILLICORES = 1000;
-  private static final int STATUS_OK = 200;
 
   private final StandInEndpointSection settings;
   private final HttpListeners listeners;
@@ -51,7 +51,7 @@
   private EndpointStandIn(StandInEndpointSection settings) {
     this.settings = settings;
     this.listeners = new HttpListeners(settings.getThreads());
-    this.poster = new MessagePoster(listeners.firstLoop());
+    this.poster = new MessagePoster(listeners.group());
   }
 
   /** Starts all instances, registers them at the platform and writes the port file. */
@@ -63,7 +63,7 @@
     for (PoolSize pool : PoolSize.parseList(settings.getWorkerPools())) {
       standIn.startWorkers(pool);
     }
-    standIn.address = standIn.listeners.listen(settings.getAddress(), standIn.reportRoutes());
+    standIn.address = standIn.listeners.listen(settings.getAddress(), standIn::reportRoutes);
     PortFile.write(settings.getPortFile(), standIn.address);
     logger.atInfo().log("event=stand_in_ready kind=endpoints http=%s", standIn.address);
     return standIn;
@@ -82,7 +82,7 @@
                   settings.getMeanRunMilliseconds(), settings.getSeed() + instance.hashCode()),
               recorder,
               faults);
-      String runnerAddress = listeners.listen(LOOPBACK, new RunnerServlet(runner)::serve);
+      String runnerAddress = listeners.listen(LOOPBACK, loop -> new RunnerServlet(runner)::serve);
       register(describe(pool, i, i).setAddress(runnerAddress).build());
     }
   }
@@ -97,7 +97,7 @@
       String instance = pool.pool() + "-" + i;
       StandInWorker worker = new StandInWorker(instance, capacity, timers, recorder, faults);
       WorkerServlet servlet = new WorkerServlet(worker);
-      String workerAddress = listeners.listen(LOOPBACK, servlet.routes(listeners.nextLoop()));
+      String workerAddress = listeners.listen(LOOPBACK, servlet::routes);
       register(
           describe(pool, i, i / WORKERS_IN_RACK)
               .setKind(InstanceKind.INSTANCE_WORKER)
@@ -119,26 +119,16 @@
 
   private void register(ListedInstance instance) throws StandInException {
     String platform = settings.getPlatformAddress();
-    try {
-      int status = poster.post(platform, "/instances/register", instance).get();
-      if (status != STATUS_OK) {
-        throw unreachable(platform, "status " + status);
-      }
-    } catch (ExecutionException e) {
-      throw unreachable(platform, String.valueOf(e.getCause()));
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw unreachable(platform, "interrupted");
+    Optional<String> failure = poster.post(platform, "/instances/register", instance).join();
+    if (failure.isPresent()) {
+      throw new StandInException(
+          ErrorReport.of(
+              ErrorCode.STAND_IN_UNREACHABLE, "the platform stand-in", platform, failure.get()));
     }
   }
 
-  private static StandInException unreachable(String platform, String detail) {
-    return new StandInException(
-        ErrorReport.of(ErrorCode.STAND_IN_UNREACHABLE, "the platform stand-in", platform, detail));
-  }
-
-  private AsyncServlet reportRoutes() {
-    return RoutingServlet.builder(listeners.nextLoop())
+  private AsyncServlet reportRoutes(Reactor reactor) {
+    return RoutingServlet.builder(reactor)
         .with(HttpMethod.GET, "/report", this::report)
         .with(
             HttpMethod.POST,
@@ -164,6 +154,7 @@
 
   @Override
   public void close() {
+    poster.close();
     listeners.close();
   }
 }
--- a/standin/src/main/java/org/flamingochute/standin/http/MessagePoster.java
+++ b/standin/src/main/java/org/flamingochute/standin/http/MessagePoster.java
@@ -4,77 +4,75 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.MessageOrBuilder;
 import com.google.protobuf.util.JsonFormat;
-import io.activej.dns.IDnsClient;
-import io.activej.dns.protocol.DnsProtocol;
-import io.activej.dns.protocol.DnsQuery;
-import io.activej.dns.protocol.DnsResponse;
-import io.activej.dns.protocol.DnsTransaction;
-import io.activej.eventloop.Eventloop;
-import io.activej.http.HttpClient;
-import io.activej.http.HttpRequest;
-import io.activej.promise.Promise;
+import io.activej.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.flamingochute.platform.http.ConnectionReuse;
+import org.flamingochute.platform.http.EventLoopGroup;
+import org.flamingochute.platform.http.ExchangeClient;
+import org.flamingochute.platform.http.ExchangeLimits;
+import org.flamingochute.platform.http.ExchangeListener;
+import org.flamingochute.platform.http.ExchangeRequest;
+import org.flamingochute.platform.http.ExchangeResult;
+import org.flamingochute.platform.http.NumericAddress;
 
 /** Posts messages as JSON to other stand-in processes. */
-final class MessagePoster {
+final class MessagePoster implements AutoCloseable {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long TIMEOUT_MILLISECONDS = 5000;
+  private static final int STATUS_OK = 200;
 
-  private final Eventloop loop;
-  private final HttpClient client;
+  private final ExchangeClient client;
 
-  /** Resolves numeric addresses only. */
-  private static final class NumericAddresses implements IDnsClient {
-
-    @Override
-    public Promise<DnsResponse> resolve(DnsQuery query) {
-      DnsResponse literal = IDnsClient.resolveFromQuery(query);
-      if (literal != null) {
-        return Promise.of(literal);
-      }
-      return Promise.of(
-          DnsResponse.ofFailure(
-              DnsTransaction.of((short) 0, query), DnsProtocol.ResponseErrorCode.NAME_ERROR));
-    }
-
-    @Override
-    public void close() {}
-  }
-
-  /** Creates a poster whose connections live on an event loop. */
-  MessagePoster(Eventloop loop) {
-    this.loop = loop;
-    this.client = HttpClient.create(loop, new NumericAddresses());
+  /** Creates a poster whose connections live on a group of event loops. */
+  MessagePoster(EventLoopGroup group) {
+    client = new ExchangeClient(group, ExchangeLimits.builder().build(), ExchangeListener.NONE);
   }
 
   /**
    * Posts a message.
    *
-   * @return the status of the answer, or an exceptional completion when there was none
+   * @return empty when it was taken, or else the reason why not
    */
-  CompletableFuture<Integer> post(String address, String path, MessageOrBuilder message) {
-    CompletableFuture<Integer> status = new CompletableFuture<>();
-    String body;
+  CompletableFuture<Optional<String>> post(String address, String path, MessageOrBuilder message) {
+    Optional<NumericAddress> target = NumericAddress.parse(address);
+    if (target.isEmpty()) {
+      return CompletableFuture.completedFuture(Optional.of("not an IP address and port"));
+    }
+    byte[] body;
     try {
-      body = JsonFormat.printer().print(message);
+      body = JsonFormat.printer().print(message).getBytes(StandardCharsets.UTF_8);
     } catch (InvalidProtocolBufferException e) {
-      status.completeExceptionally(e);
-      return status;
+      return CompletableFuture.completedFuture(Optional.of(e.getMessage()));
     }
-    HttpRequest request = HttpRequest.post("http://" + address + path).withBody(body).build();
-    loop.execute(
-        () ->
-            client
-                .request(request)
-                .whenResult(response -> status.complete(response.getCode()))
-                .whenException(status::completeExceptionally));
-    status.exceptionally(cause -> logFailure(address, path, cause));
-    return status;
+    ExchangeRequest request =
+        new ExchangeRequest(
+            target.get(),
+            HttpMethod.POST,
+            path,
+            List.of(),
+            body,
+            TIMEOUT_MILLISECONDS,
+            ConnectionReuse.ALLOWED_WITH_RETRY,
+            Optional.empty());
+    return client.send(request).thenApply(result -> failureOf(request, result));
   }
 
-  private static Integer logFailure(String address, String path, Throwable cause) {
+  private static Optional<String> failureOf(ExchangeRequest request, ExchangeResult result) {
+    if (result instanceof ExchangeResult.Answered answered && answered.status() == STATUS_OK) {
+      return Optional.empty();
+    }
     logger.atWarning().log(
-        "event=post_failed address=%s path=%s detail=\"%s\"", address, path, cause.getMessage());
-    return 0;
+        "event=post_failed address=%s path=%s detail=\"%s\"",
+        request.address().text(), request.path(), result);
+    return Optional.of(result.toString());
+  }
+
+  @Override
+  public void close() {
+    client.close();
   }
 }
--- a/standin/src/main/java/org/flamingochute/standin/http/PlatformStandIn.java
+++ b/standin/src/main/java/org/flamingochute/standin/http/PlatformStandIn.java
@@ -16,7 +16,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final HttpListeners listeners = new HttpListeners(1);
-  private final MessagePoster poster = new MessagePoster(listeners.firstLoop());
+  private final MessagePoster poster = new MessagePoster(listeners.group());
   private final String address;
 
   private PlatformStandIn(StandInPlatformSection settings) throws StandInException {
@@ -30,7 +30,7 @@
             new InMemoryPoolControl(
                 timers, instances, this::setPower, settings.getRebootMilliseconds()),
             settings.getListLagMilliseconds());
-    address = listeners.listen(settings.getAddress(), servlet.routes(listeners.firstLoop()));
+    address = listeners.listen(settings.getAddress(), servlet::routes);
   }
 
   /** Starts the stand-in and writes its port file. */
@@ -56,6 +56,7 @@
 
   @Override
   public void close() {
+    poster.close();
     listeners.close();
   }
 }
--- a/standin/src/test/java/org/flamingochute/standin/InMemoryInstanceListTest.java
+++ b/standin/src/test/java/org/flamingochute/standin/InMemoryInstanceListTest.java
@@ -11,7 +11,7 @@
 
 class InMemoryInstanceListTest {
 
-  private final ManualTimers timers = new ManualTimers();
+  private final VirtualTimers timers = new VirtualTimers();
 
   private static String statesOf(InMemoryInstanceList list) {
     return list.list().join().get().getInstancesList().stream()
--- a/standin/src/test/java/org/flamingochute/standin/InMemoryPlatformLogTest.java
+++ b/standin/src/test/java/org/flamingochute/standin/InMemoryPlatformLogTest.java
@@ -18,7 +18,7 @@
 
 class InMemoryPlatformLogTest {
 
-  private final ManualTimers timers = new ManualTimers();
+  private final VirtualTimers timers = new VirtualTimers();
 
   private static byte[] record(String text) {
     return text.getBytes(java.nio.charset.StandardCharsets.UTF_8);
--- a/standin/src/test/java/org/flamingochute/standin/InMemoryPoolControlTest.java
+++ b/standin/src/test/java/org/flamingochute/standin/InMemoryPoolControlTest.java
@@ -21,7 +21,7 @@
 
   private static final long REBOOT_MILLISECONDS = 1000;
 
-  private final ManualTimers timers = new ManualTimers();
+  private final VirtualTimers timers = new VirtualTimers();
   private final InMemoryInstanceList list = new InMemoryInstanceList(timers, 0);
   private final List<Boolean> power = new ArrayList<>();
   private final InMemoryPoolControl control =
--- a/standin/src/test/java/org/flamingochute/standin/StandInRunnerTest.java
+++ b/standin/src/test/java/org/flamingochute/standin/StandInRunnerTest.java
@@ -25,7 +25,7 @@
 
   private static final long RUN_MILLISECONDS = 100;
 
-  private final ManualTimers timers = new ManualTimers();
+  private final VirtualTimers timers = new VirtualTimers();
   private final EndpointRecorder recorder = new EndpointRecorder();
   private final EndpointFaults faults = new EndpointFaults();
 
--- a/standin/src/test/java/org/flamingochute/standin/StandInWorkerTest.java
+++ b/standin/src/test/java/org/flamingochute/standin/StandInWorkerTest.java
@@ -17,7 +17,7 @@
 
 class StandInWorkerTest {
 
-  private final ManualTimers timers = new ManualTimers();
+  private final VirtualTimers timers = new VirtualTimers();
   private final EndpointRecorder recorder = new EndpointRecorder();
   private final EndpointFaults faults = new EndpointFaults();
   private final StandInWorker worker =
