--- /dev/null
+++ b/decision/src/test/java/org/flamingochute/decision/capacity/DemandTransferPolicyTest.java
@@ -0,0 +1,46 @@
+package org.flamingochute.decision.capacity;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.flamingochute.decision.identity.Incarnation;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class DemandTransferPolicyTest {
+
+  private final DemandTransferPolicy policy = new DemandTransferPolicy();
+
+  @ParameterizedTest
+  @CsvSource({
+    "1,4,3,0,5 0,2 0,peer-0:5 peer-1:1",
+    "3,4,3,0,5 0,2 0,''",
+    "0,0,1,0,5 0,2 0,peer-0:1",
+    "0,0,1,1,5 0,2 0,''",
+    "0,0,4,0,2 0,5 0,peer-1:4",
+    "0,0,4,0,5 4,2 0,peer-1:2 peer-0:1",
+    "0,0,4,0,0 0,0 3,''",
+  })
+  void asksForMissingTokens(
+      int free, int inUse, int waiting, int asked, String first, String second, String expected) {
+    List<PeerTokens> peers = new ArrayList<>();
+    for (String text : List.of(first, second)) {
+      String[] parts = text.split(" ");
+      Incarnation peer = new Incarnation("peer-" + peers.size());
+      peers.add(new PeerTokens(peer, Integer.parseInt(parts[0]), Integer.parseInt(parts[1])));
+    }
+    List<TokenAsk> asks = policy.asks(new OwnTokens(free, inUse, waiting, asked), peers);
+    String text =
+        asks.stream().map(ask -> ask.peer() + ":" + ask.tokens()).collect(Collectors.joining(" "));
+    assertThat(text, equalTo(expected));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"5,0,6,4", "5,0,2,2", "1,0,3,1", "0,0,3,0", "5,4,3,1", "5,6,3,0", "5,0,0,0"})
+  void givesWhatItDoesNotNeed(int free, int waiting, int wanted, int expected) {
+    assertThat(policy.give(new OwnTokens(free, 0, waiting, 0), wanted), equalTo(expected));
+  }
+}
