--- a/load/src/main/java/org/flamingochute/load/LoadOptions.java
+++ b/load/src/main/java/org/flamingochute/load/LoadOptions.java
@@ -72,7 +72,8 @@
   static String required(CommandLine line, String name) throws LoadException {
     String value = line.getOptionValue(name);
     if (value == null) {
-      throw new LoadException(ErrorReport.of(ErrorCode.TOOL_COMMAND_LINE, "--" + name + " is needed"));
+      throw new LoadException(
+          ErrorReport.of(ErrorCode.TOOL_COMMAND_LINE, "--" + name + " is needed"));
     }
     return value;
   }
