Mend linter warnings of the fold

Cause: missing doc comments on the test fixture, overloads apart, one early declaration. Change: docs, ClaimTable.find, a final variable; no change of behaviour.

--- a/decision/src/main/java/org/flamingochute/decision/agreement/AgreedState.java
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/AgreedState.java
@@ -184,7 +184,7 @@
 
   @Override
   public Optional<ClaimImage> claim(TeamId team, IdempotencyKey key) {
-    return tables.claims().claim(team, key);
+    return tables.claims().find(team, key);
   }
 
   @Override
--- a/decision/src/main/java/org/flamingochute/decision/agreement/ClaimTable.java
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/ClaimTable.java
@@ -172,7 +172,7 @@
         entry.key(), claim.toBuilder().setSettled(withoutAnswer(claim.getSettled())).build());
   }
 
-  synchronized Optional<ClaimImage> claim(TeamId team, IdempotencyKey key) {
+  synchronized Optional<ClaimImage> find(TeamId team, IdempotencyKey key) {
     return Optional.ofNullable(claims.get(new ClaimKey(team, key)));
   }
 
--- a/decision/src/main/java/org/flamingochute/decision/agreement/TeamEscrow.java
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/TeamEscrow.java
@@ -151,7 +151,7 @@
 
   /** Settles the epoch; returns the tokens to mint. */
   int close() {
-    long remainder = Math.max(0, remainder());
+    final long remainder = Math.max(0, remainder());
     complete = true;
     suspended = false;
     notBeforeMilliseconds = 0;
--- a/decision/src/test/java/org/flamingochute/decision/agreement/LogFixture.java
+++ b/decision/src/test/java/org/flamingochute/decision/agreement/LogFixture.java
@@ -48,14 +48,17 @@
     return log;
   }
 
+  /** Moves the append time on. */
   public void advance(long milliseconds) {
     timeMilliseconds += milliseconds;
   }
 
+  /** Returns the append time of the next record. */
   public long timeMilliseconds() {
     return timeMilliseconds;
   }
 
+  /** Appends a record and returns what the fold made of it. */
   public FoldResult append(LogRecord.Builder record) {
     if (record.getRecordId().isEmpty()) {
       record.setRecordId("r" + nextId++);
@@ -63,14 +66,17 @@
     return appendBytes(record.setFormatVersion(AgreedState.FORMAT_VERSION).build().toByteArray());
   }
 
+  /** Appends bytes that need not be a record. */
   public FoldResult appendBytes(byte[] record) {
     return state.apply(nextOffset++, timeMilliseconds++, record);
   }
 
+  /** Appends a patch against the version in force. */
   public FoldResult patch(SettingChange... changes) {
     return append(patchAt(state.description().getVersion(), "ana", List.of(changes)));
   }
 
+  /** Appends a patch against a version. */
   public LogRecord.Builder patchAt(long base, String operator, List<SettingChange> changes) {
     return LogRecord.newBuilder()
         .setPatch(
@@ -81,6 +87,7 @@
                 .addAllChanges(changes));
   }
 
+  /** Appends the first description. */
   public static LogRecord.Builder firstPatch() {
     List<SettingChange> changes =
         FleetDifference.between(FleetDescription.getDefaultInstance(), FleetFixture.description());
@@ -92,28 +99,34 @@
                 .addAllChanges(changes));
   }
 
+  /** Lets a member join. */
   public static LogRecord.Builder join(String member) {
     return LogRecord.newBuilder()
         .setMemberJoined(
             MemberJoined.newBuilder().setIncarnation(member).setInstance("entry-" + member));
   }
 
+  /** Lets a member leave. */
   public static LogRecord.Builder leave(String member) {
     return LogRecord.newBuilder().setMemberLeft(MemberLeft.newBuilder().setIncarnation(member));
   }
 
+  /** Reports a member as gone. */
   public static LogRecord.Builder gone(String member) {
     return LogRecord.newBuilder().setMemberGone(MemberGone.newBuilder().setIncarnation(member));
   }
 
+  /** Appends a record that only carries time. */
   public static LogRecord.Builder tick() {
     return LogRecord.newBuilder().setTick(Tick.getDefaultInstance());
   }
 
+  /** Appends a statement of holdings. */
   public static LogRecord.Builder statement(HoldingsStated statement) {
     return LogRecord.newBuilder().setHoldingsStated(statement);
   }
 
+  /** Claims an idempotency key. */
   public static LogRecord.Builder claim(String team, String key, String member, String digest) {
     return LogRecord.newBuilder()
         .setIdempotencyClaimed(
@@ -124,6 +137,7 @@
                 .setRequestDigest(digest));
   }
 
+  /** Settles a claim. */
   public static LogRecord.Builder settle(String team, String key, String member, Outcome outcome) {
     return LogRecord.newBuilder()
         .setIdempotencySettled(
@@ -134,6 +148,7 @@
                 .setOutcome(outcome));
   }
 
+  /** Returns a job to submit. */
   public static JobSubmitted.Builder job(String job, boolean idempotent) {
     return JobSubmitted.newBuilder()
         .setJob(job)
@@ -142,15 +157,18 @@
         .setIdempotent(idempotent);
   }
 
+  /** Submits a job. */
   public static LogRecord.Builder submit(JobSubmitted.Builder job) {
     return LogRecord.newBuilder().setJobSubmitted(job);
   }
 
+  /** Cancels jobs. */
   public static LogRecord.Builder cancel(String team, String... jobs) {
     return LogRecord.newBuilder()
         .setJobsCancelled(JobsCancelled.newBuilder().setTeam(team).addAllJobs(List.of(jobs)));
   }
 
+  /** Claims the placing of a pool. */
   public static LogRecord.Builder placer(String pool, String member, long replacedEpoch) {
     return LogRecord.newBuilder()
         .setPlacerClaimed(
@@ -160,6 +178,7 @@
                 .setReplacedEpoch(replacedEpoch));
   }
 
+  /** Starts an attempt. */
   public LogRecord.Builder start(
       String job, int attempt, String worker, String member, long epoch) {
     long escrowEpoch = state.escrow(new TeamId("shop")).get().getEpoch();
@@ -174,6 +193,7 @@
                 .setEscrowEpoch(escrowEpoch));
   }
 
+  /** Ends an attempt. */
   public static LogRecord.Builder end(
       String job, int attempt, String worker, AttemptResult result) {
     return LogRecord.newBuilder()
@@ -185,6 +205,7 @@
                 .setResult(result));
   }
 
+  /** Returns an observation of an instance. */
   public static InstanceObserved.Builder instance(String name, String pool, String rack) {
     boolean isWorker = pool.equals("prints");
     return InstanceObserved.newBuilder()
@@ -196,10 +217,12 @@
         .setState(InstanceState.INSTANCE_LIVE);
   }
 
+  /** Observes an instance. */
   public static LogRecord.Builder observe(InstanceObserved.Builder observed) {
     return LogRecord.newBuilder().setInstanceObserved(observed);
   }
 
+  /** Returns a request to stop an instance. */
   public static InstanceStopRequested.Builder stopRequest(
       String operation, String instance, String pool, StopPurpose purpose) {
     return InstanceStopRequested.newBuilder()
@@ -209,10 +232,12 @@
         .setPurpose(purpose);
   }
 
+  /** Requests to stop an instance. */
   public static LogRecord.Builder stop(InstanceStopRequested.Builder request) {
     return LogRecord.newBuilder().setInstanceStopRequested(request);
   }
 
+  /** Reports a step of a stop. */
   public static LogRecord.Builder step(String operation, String instance, StopStep step) {
     return LogRecord.newBuilder()
         .setInstanceStepDone(
@@ -222,6 +247,7 @@
                 .setStep(step));
   }
 
+  /** Moves an instance. */
   public static LogRecord.Builder move(String operation, String instance, String from, String to) {
     return LogRecord.newBuilder()
         .setInstanceMoved(
