Build the entry node over the interfaces: log, requests, peers, jobs, maintenance

Ruled out: freshness by the arrival time of gossip (frames wait in the socket of a paused process; the echo of our own sequence proves a time instead); a second settlement of a claim under another record id (it could free a later claim); leaving the members with work in flight (its tokens would be minted while it runs).

--- /dev/null
+++ b/engine/src/main/java/org/flamingochute/engine/EntryNodeParts.java
@@ -0,0 +1,300 @@
+package org.flamingochute.engine;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.flamingochute.decision.agreement.AgreedState;
+import org.flamingochute.decision.capacity.DemandTransferPolicy;
+import org.flamingochute.decision.dispatch.LeastLoadedOfTwoChooser;
+import org.flamingochute.decision.dispatch.OutlierDetector;
+import org.flamingochute.decision.dispatch.OutlierSettings;
+import org.flamingochute.decision.escrow.EscrowLedger;
+import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.engine.job.JobParts;
+import org.flamingochute.engine.job.JobPlacers;
+import org.flamingochute.engine.job.JobService;
+import org.flamingochute.engine.job.PlacerCoordinator;
+import org.flamingochute.engine.log.FreshnessMonitor;
+import org.flamingochute.engine.log.LogAppender;
+import org.flamingochute.engine.log.LogFollower;
+import org.flamingochute.engine.maintenance.DemandEstimator;
+import org.flamingochute.engine.maintenance.MaintenanceCoordinator;
+import org.flamingochute.engine.maintenance.MaintenanceParts;
+import org.flamingochute.engine.membership.ListObserver;
+import org.flamingochute.engine.membership.MemberRank;
+import org.flamingochute.engine.membership.MembershipKeeper;
+import org.flamingochute.engine.operator.OperatorService;
+import org.flamingochute.engine.peer.PeerExchange;
+import org.flamingochute.engine.peer.PeerLink;
+import org.flamingochute.engine.peer.PeerParts;
+import org.flamingochute.engine.peer.PeerUsage;
+import org.flamingochute.engine.peer.TokenBroker;
+import org.flamingochute.engine.request.CurrentKeys;
+import org.flamingochute.engine.request.EndpointTable;
+import org.flamingochute.engine.request.RequestParts;
+import org.flamingochute.engine.request.RequestService;
+import org.flamingochute.engine.request.StartCounts;
+import org.flamingochute.engine.request.WorkGate;
+import org.flamingochute.engine.status.FleetLoad;
+import org.flamingochute.engine.status.StatusReporter;
+import org.flamingochute.engine.status.UsageReport;
+import org.flamingochute.engine.upkeep.EscrowKeeper;
+import org.flamingochute.engine.upkeep.SnapshotScheduler;
+import org.flamingochute.platform.Timers;
+import org.flamingochute.schema.MemberJoined;
+import org.flamingochute.schema.TimingSection;
+
+/**
+ * Builds the parts of an entry node and connects them.
+ *
+ * <p>The order of the listeners matters: the ledger is told of a record first, so that tokens are
+ * right for every other part; the claims are told before the appender, since they ask it whether a
+ * record is still waited for.
+ */
+final class EntryNodeParts {
+
+  /** Locks that the teams' tokens are spread over. */
+  private static final int LEDGER_SHARDS = 16;
+
+  final AgreedState agreed = AgreedState.empty();
+  final WorkGate gate;
+  final LogFollower follower;
+  final LogAppender appender;
+  final MembershipKeeper membership;
+  final ListObserver listObserver;
+  final TokenBroker broker;
+  final PeerExchange peers;
+  final RequestService requests;
+  final JobService jobs;
+  final JobPlacers placers;
+  final MaintenanceCoordinator maintenance;
+  final OperatorService operators;
+  final StatusReporter status;
+
+  private final EntryNodeSettings settings;
+  private final Incarnation self;
+  private final Timers timers;
+  private final MetricRegistry metrics;
+  private final TimingSection timing;
+  private final FreshnessMonitor freshness;
+  private final PeerUsage peerUsage = new PeerUsage();
+  private final StartCounts starts = new StartCounts();
+  private final MemberRank rank;
+  private final CurrentKeys keys;
+  private final EscrowLedger ledger;
+  private final PeerLink link;
+  private final OutlierDetector outliers = new OutlierDetector(OutlierSettings.defaults());
+  private final UniformRandomProvider random;
+  private final EndpointTable endpoints;
+  private final PlacerCoordinator coordinator;
+  private final SnapshotScheduler snapshots;
+  private final EscrowKeeper escrow;
+
+  EntryNodeParts(EntryNodeSettings settings) {
+    this.settings = settings;
+    this.self = settings.incarnation();
+    this.timers = settings.timers();
+    this.metrics = settings.metrics();
+    this.timing = settings.settings().getTiming();
+    this.random = RandomSource.XO_RO_SHI_RO_128_PP.create((long) self.value().hashCode());
+    this.freshness = new FreshnessMonitor(agreed, timers, self, timing.getFreshnessMilliseconds());
+    this.gate = new WorkGate(agreed, freshness, self);
+    this.rank = new MemberRank(agreed, freshness, this::isStopping, self);
+    this.keys = new CurrentKeys(agreed);
+    this.follower = newFollower();
+    this.appender = newAppender();
+    this.membership = new MembershipKeeper(joined(), agreed, appender, timers, metrics);
+    this.listObserver = newListObserver();
+    this.ledger = new EscrowLedger(self, LEDGER_SHARDS, agreed);
+    this.link = new PeerLink(settings.peerTransport(), agreed, self, metrics);
+    this.broker = newBroker();
+    this.endpoints = newEndpoints();
+    this.requests = newRequests();
+    this.coordinator = newCoordinator();
+    this.jobs = new JobService(agreed, keys, gate, appender, self, metrics);
+    this.placers = new JobPlacers(jobParts());
+    this.maintenance = new MaintenanceCoordinator(maintenanceParts());
+    this.snapshots =
+        new SnapshotScheduler(agreed, rank, appender, self, timing.getSnapshotRecords(), metrics);
+    this.escrow = new EscrowKeeper(ledger, agreed, rank, appender, timers, metrics);
+    this.peers = new PeerExchange(peerParts(), this::afterHeartbeat);
+    this.operators = newOperators();
+    this.status = new StatusReporter(agreed, ledger, broker, peerUsage, gate, instance(), self);
+    connect();
+  }
+
+  private void connect() {
+    agreed.addListener(ledger);
+    agreed.addListener(requests.claimListener());
+    agreed.addListener(appender);
+    agreed.addListener(membership);
+    agreed.addListener(listObserver);
+    agreed.addListener(peers);
+    agreed.addListener(snapshots);
+    follower.addReaction(appender);
+    follower.addReaction(escrow);
+    follower.addReaction(requests);
+    follower.addReaction(placers);
+    broker.connect(
+        team -> requests.dispatcher().waiting(team) + placers.waiting(team), this::tokensCame);
+  }
+
+  private void tokensCame() {
+    requests.dispatcher().takeTurns();
+    placers.step();
+  }
+
+  private void afterHeartbeat() {
+    requests.dispatcher().takeTurns();
+    escrow.beat();
+    snapshots.writeIfDue();
+  }
+
+  private boolean isStopping(Incarnation member) {
+    return member.equals(self) ? gate.isStopping() : peerUsage.isStopping(member);
+  }
+
+  private String instance() {
+    return settings.settings().getEntry().getInstance();
+  }
+
+  private MemberJoined joined() {
+    return MemberJoined.newBuilder()
+        .setIncarnation(self.value())
+        .setInstance(instance())
+        .setDataCentre(settings.settings().getEntry().getDataCentre())
+        .setPeerAddress(settings.peerAddress())
+        .setHttpAddress(settings.httpAddress())
+        .build();
+  }
+
+  private LogFollower newFollower() {
+    Duration interval = Duration.ofMillis(timing.getLogPollMilliseconds());
+    return new LogFollower(settings.log(), agreed, timers, freshness, interval, metrics);
+  }
+
+  private LogAppender newAppender() {
+    Duration linger = Duration.ofMillis(timing.getAppendLingerMilliseconds());
+    return new LogAppender(settings.log(), follower, timers, self, linger, metrics);
+  }
+
+  private ListObserver newListObserver() {
+    return new ListObserver(
+        settings.instanceList(),
+        agreed,
+        rank,
+        appender,
+        timers,
+        self,
+        Duration.ofMillis(timing.getListPollMilliseconds()),
+        metrics);
+  }
+
+  private TokenBroker newBroker() {
+    return new TokenBroker(
+        ledger,
+        agreed,
+        new DemandTransferPolicy(),
+        link,
+        peerUsage,
+        freshness,
+        timers,
+        self,
+        metrics);
+  }
+
+  private EndpointTable newEndpoints() {
+    LeastLoadedOfTwoChooser chooser =
+        new LeastLoadedOfTwoChooser(random, outliers, () -> agreed.members().size());
+    return new EndpointTable(agreed, chooser);
+  }
+
+  private RequestService newRequests() {
+    return new RequestService(
+        new RequestParts(
+            agreed,
+            keys,
+            gate,
+            broker,
+            endpoints,
+            outliers,
+            settings.endpointClient(),
+            appender,
+            timers,
+            self,
+            RandomSource.XO_RO_SHI_RO_128_PP.create((long) ~self.value().hashCode()),
+            metrics,
+            starts,
+            settings.settings().getLimit().getMaximumWaitingRequests()));
+  }
+
+  private PlacerCoordinator newCoordinator() {
+    return new PlacerCoordinator(
+        agreed,
+        freshness,
+        rank,
+        this::isStopping,
+        gate,
+        appender,
+        timers,
+        self,
+        timing.getPlacerLeaseMilliseconds(),
+        metrics);
+  }
+
+  private JobParts jobParts() {
+    return new JobParts(
+        agreed,
+        coordinator,
+        broker,
+        gate,
+        appender,
+        settings.workerControl(),
+        timers,
+        self,
+        metrics);
+  }
+
+  private MaintenanceParts maintenanceParts() {
+    FleetLoad load = new FleetLoad(agreed, endpoints);
+    return new MaintenanceParts(
+        agreed,
+        coordinator,
+        gate,
+        appender,
+        settings.poolControl(),
+        load,
+        freshness,
+        new DemandEstimator(agreed, load::requestsInFlight, requests.dispatcher()::waiting),
+        timers,
+        self,
+        timing.getDrainNoticeMilliseconds(),
+        metrics);
+  }
+
+  private PeerParts peerParts() {
+    return new PeerParts(
+        agreed,
+        follower,
+        freshness,
+        settings.peerTransport(),
+        link,
+        peerUsage,
+        endpoints,
+        broker,
+        new UsageReport(agreed, ledger, broker, endpoints, starts, gate),
+        requests.dispatcher()::remoteStarts,
+        listObserver::newest,
+        timers,
+        self,
+        settings.peerAddress(),
+        Duration.ofMillis(timing.getGossipMilliseconds()),
+        metrics);
+  }
+
+  private OperatorService newOperators() {
+    String digest = settings.settings().getEntry().getBootstrapOperatorDigest();
+    return new OperatorService(agreed, keys, appender, digest, self, metrics);
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/org/flamingochute/engine/GracefulStop.java
@@ -0,0 +1,88 @@
+package org.flamingochute.engine;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.flamingochute.platform.Timers;
+
+/**
+ * Stops an entry without cutting work in flight.
+ *
+ * <p>New work is refused at once, as not run. Requests that were taken are still served. Tokens go
+ * to peers as they come free. When nothing is left in flight and no token is held, or the time for
+ * the stop is over, the entry leaves the members and ends its timers. The last member has no one to
+ * give its tokens to, and does not wait for that.
+ */
+final class GracefulStop {
+
+  private static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final EntryNodeParts parts;
+  private final Timers timers;
+  private final long limitMilliseconds;
+  private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+  private boolean begun;
+  private long begunMilliseconds;
+
+  /**
+   * Creates the stop of a node.
+   *
+   * @param limitMilliseconds longest wait for work in flight
+   */
+  GracefulStop(EntryNodeParts parts, Timers timers, long limitMilliseconds) {
+    this.parts = parts;
+    this.timers = timers;
+    this.limitMilliseconds = limitMilliseconds;
+  }
+
+  /** Begins the stop; a second call returns the same future. */
+  CompletableFuture<Void> begin() {
+    synchronized (this) {
+      if (begun) {
+        return stopped;
+      }
+      begun = true;
+    }
+    begunMilliseconds = timers.monotonicMilliseconds();
+    logger.atInfo().log("event=stop_begun");
+    parts.gate.stopTakingWork();
+    parts.maintenance.stop();
+    check();
+    return stopped;
+  }
+
+  private void check() {
+    boolean workDone = parts.requests.isIdle() && parts.placers.isIdle();
+    boolean tokensGone = parts.broker.handOver();
+    boolean alone = !parts.broker.hasHeir();
+    boolean late = timers.monotonicMilliseconds() - begunMilliseconds > limitMilliseconds;
+    if ((workDone && (tokensGone || alone)) || late) {
+      leave(workDone);
+      return;
+    }
+    timers.schedule(CHECK_INTERVAL, this::check);
+  }
+
+  /**
+   * An entry with work in flight does not leave, so that its tokens are held back until that ended.
+   */
+  private void leave(boolean workDone) {
+    logger.atInfo().log("event=stop_leaving work_done=%b", workDone);
+    parts.placers.stop();
+    if (!workDone) {
+      end();
+      return;
+    }
+    parts.membership.leave().thenAccept(left -> end());
+  }
+
+  private void end() {
+    parts.listObserver.stop();
+    parts.peers.stop();
+    parts.follower.stop();
+    logger.atInfo().log("event=stop_done");
+    stopped.complete(null);
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/org/flamingochute/engine/maintenance/PoolSnapshot.java
@@ -0,0 +1,72 @@
+package org.flamingochute.engine.maintenance;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.flamingochute.decision.agreement.AgreedView;
+import org.flamingochute.decision.identity.DataCentreId;
+import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.decision.identity.RackId;
+import org.flamingochute.decision.maintenance.InstanceCondition;
+import org.flamingochute.decision.maintenance.PoolGuard;
+import org.flamingochute.decision.maintenance.PoolInstance;
+import org.flamingochute.schema.InstanceImage;
+import org.flamingochute.schema.InstanceState;
+import org.flamingochute.schema.PoolSection;
+
+/** Turns agreed instances and pools into what the planners take. */
+final class PoolSnapshot {
+
+  private static final String UNNAMED = "unnamed";
+
+  private final AgreedView agreed;
+  private final InstanceLoad load;
+
+  PoolSnapshot(AgreedView agreed, InstanceLoad load) {
+    this.agreed = agreed;
+    this.load = load;
+  }
+
+  /** Returns the instances of a pool. */
+  List<PoolInstance> instances(PoolId pool) {
+    List<PoolInstance> instances = new ArrayList<>();
+    for (InstanceImage image : agreed.instances(pool)) {
+      instances.add(instance(image));
+    }
+    return instances;
+  }
+
+  /** Returns the guards of a pool. */
+  PoolGuard guard(PoolId pool) {
+    PoolSection section =
+        agreed
+            .description()
+            .getPoolsMap()
+            .getOrDefault(pool.value(), PoolSection.getDefaultInstance());
+    return new PoolGuard(pool, section.getMinimumAvailable(), section.getMaximumStoppedDomains());
+  }
+
+  private PoolInstance instance(InstanceImage image) {
+    return new PoolInstance(
+        new InstanceId(image.getObserved().getInstance()),
+        new PoolId(image.getPool()),
+        new DataCentreId(nameOf(image.getObserved().getDataCentre())),
+        new RackId(nameOf(image.getObserved().getRack())),
+        condition(image),
+        load.inFlight(image));
+  }
+
+  private static InstanceCondition condition(InstanceImage image) {
+    if (image.hasStop()) {
+      return InstanceCondition.STOPPED;
+    }
+    if (image.getObserved().getState() == InstanceState.INSTANCE_LIVE) {
+      return InstanceCondition.AVAILABLE;
+    }
+    return InstanceCondition.DOWN;
+  }
+
+  private static String nameOf(String listed) {
+    return listed.isEmpty() ? UNNAMED : listed;
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/org/flamingochute/engine/membership/MembershipKeeper.java
@@ -0,0 +1,106 @@
+package org.flamingochute.engine.membership;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.flamingochute.decision.agreement.AgreedView;
+import org.flamingochute.decision.agreement.AgreementListener;
+import org.flamingochute.decision.agreement.FoldResult;
+import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.engine.log.AppendOutcome;
+import org.flamingochute.engine.log.LogAppender;
+import org.flamingochute.platform.Timers;
+import org.flamingochute.schema.LogRecord;
+import org.flamingochute.schema.MemberJoined;
+import org.flamingochute.schema.MemberLeft;
+
+/**
+ * Makes this incarnation a member, and ends its membership.
+ *
+ * <p>An incarnation joins once. When it folds its own removal it never joins again: its tokens were
+ * given to others. The process has to be started anew, under another incarnation.
+ */
+public final class MembershipKeeper implements AgreementListener {
+
+  /** Time of one try to join or leave, in milliseconds. */
+  private static final long APPEND_MILLISECONDS = 5_000;
+
+  private static final Duration RETRY_DELAY = Duration.ofMillis(200);
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final MemberJoined joined;
+  private final AgreedView agreed;
+  private final LogAppender appender;
+  private final Timers timers;
+  private final MetricRegistry metrics;
+  private volatile boolean removed;
+  private volatile boolean leaving;
+
+  /** Creates a keeper for the incarnation that the record names. */
+  public MembershipKeeper(
+      MemberJoined joined,
+      AgreedView agreed,
+      LogAppender appender,
+      Timers timers,
+      MetricRegistry metrics) {
+    this.joined = joined;
+    this.agreed = agreed;
+    this.appender = appender;
+    this.timers = timers;
+    this.metrics = metrics;
+  }
+
+  /** Tells whether this incarnation was a member and was removed. */
+  public boolean isRemoved() {
+    return removed;
+  }
+
+  /** Joins, and tries again until it is a member. */
+  public void join() {
+    if (removed || leaving || agreed.isMember(self())) {
+      return;
+    }
+    appender
+        .append(LogRecord.newBuilder().setMemberJoined(joined), APPEND_MILLISECONDS)
+        .thenAccept(this::takeJoined);
+  }
+
+  /** Leaves; completes when the record was read back, or could not be appended in time. */
+  public CompletableFuture<Void> leave() {
+    leaving = true;
+    if (!agreed.isMember(self())) {
+      return CompletableFuture.completedFuture(null);
+    }
+    MemberLeft left = MemberLeft.newBuilder().setIncarnation(self().value()).build();
+    return appender
+        .append(LogRecord.newBuilder().setMemberLeft(left), APPEND_MILLISECONDS)
+        .thenAccept(outcome -> logger.atInfo().log("event=member_left incarnation=%s", self()));
+  }
+
+  @Override
+  public void memberRemoved(Incarnation incarnation) {
+    if (!incarnation.equals(self())) {
+      return;
+    }
+    removed = true;
+    metrics.counter("members.own_removal").inc();
+    logger.atWarning().log("event=own_removal_folded incarnation=%s", self());
+  }
+
+  private void takeJoined(AppendOutcome outcome) {
+    if (outcome instanceof AppendOutcome.Folded folded && folded.isAccepted()) {
+      logger.atInfo().log("event=member_joined incarnation=%s", self());
+      return;
+    }
+    if (outcome instanceof AppendOutcome.Folded(long offset, FoldResult.Refused refused)) {
+      logger.atWarning().log("event=join_refused report=\"%s\"", refused.report());
+    }
+    timers.schedule(RETRY_DELAY, this::join);
+  }
+
+  private Incarnation self() {
+    return new Incarnation(joined.getIncarnation());
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/org/flamingochute/engine/operator/OperatorService.java
@@ -0,0 +1,165 @@
+package org.flamingochute.engine.operator;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.flamingochute.decision.agreement.AgreedView;
+import org.flamingochute.decision.agreement.FoldResult;
+import org.flamingochute.decision.error.ErrorCode;
+import org.flamingochute.decision.error.ErrorReport;
+import org.flamingochute.decision.fleet.KeyDigest;
+import org.flamingochute.decision.fleet.OperatorRights;
+import org.flamingochute.decision.identity.Identifiers;
+import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.decision.identity.OperatorId;
+import org.flamingochute.engine.log.AppendOutcome;
+import org.flamingochute.engine.log.LogAppender;
+import org.flamingochute.engine.request.CurrentKeys;
+import org.flamingochute.schema.AuditEntry;
+import org.flamingochute.schema.FleetPatch;
+import org.flamingochute.schema.LogRecord;
+
+/**
+ * Checks operators, and brings their patches through the log.
+ *
+ * <p>A patch whose id is in the audit trail as accepted is not appended again, so that an operator
+ * may repeat a patch whose answer was lost. While no description is in force, the operator named
+ * bootstrap may patch with the key that the settings name.
+ */
+public final class OperatorService {
+
+  private static final long APPEND_MILLISECONDS = 10_000;
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final AgreedView agreed;
+  private final CurrentKeys keys;
+  private final LogAppender appender;
+  private final String bootstrapDigest;
+  private final Incarnation self;
+  private final MetricRegistry metrics;
+  private final AtomicLong counter = new AtomicLong();
+
+  /**
+   * Creates the service.
+   *
+   * @param bootstrapDigest digest of the bootstrap operator's key; empty for none
+   */
+  public OperatorService(
+      AgreedView agreed,
+      CurrentKeys keys,
+      LogAppender appender,
+      String bootstrapDigest,
+      Incarnation self,
+      MetricRegistry metrics) {
+    this.agreed = agreed;
+    this.keys = keys;
+    this.appender = appender;
+    this.bootstrapDigest = bootstrapDigest;
+    this.self = self;
+    this.metrics = metrics;
+  }
+
+  /** Checks that an operator may look. */
+  public Either<ErrorReport, Void> authorize(String operator, String operatorKey) {
+    if (isBootstrap(operator, operatorKey)) {
+      return Either.right(null);
+    }
+    boolean known =
+        Identifiers.isValid(operator)
+            && keys.directory().isOperator(new OperatorId(operator), operatorKey);
+    if (!known) {
+      metrics.counter("operators.refused").inc();
+      return Either.left(ErrorReport.of(ErrorCode.OPERATOR_UNKNOWN, operator));
+    }
+    return Either.right(null);
+  }
+
+  /** Applies a patch; completes with its audit entry, or with why it was refused. */
+  public CompletableFuture<Either<ErrorReport, AuditEntry>> patch(
+      String operatorKey, FleetPatch patch) {
+    Optional<ErrorReport> refusal = refusal(operatorKey, patch.getOperatorName());
+    if (refusal.isPresent()) {
+      logger.atWarning().log(
+          "event=patch_not_allowed operator=%s patch=%s",
+          patch.getOperatorName(), patch.getPatchId());
+      return CompletableFuture.completedFuture(Either.left(refusal.get()));
+    }
+    FleetPatch named = named(patch);
+    Optional<AuditEntry> earlier = accepted(named);
+    if (earlier.isPresent()) {
+      return CompletableFuture.completedFuture(Either.right(earlier.get()));
+    }
+    metrics.counter("patches.received").inc();
+    return appender
+        .append(LogRecord.newBuilder().setPatch(named), APPEND_MILLISECONDS)
+        .thenApply(outcome -> takeOutcome(named, outcome));
+  }
+
+  private Optional<ErrorReport> refusal(String operatorKey, String operator) {
+    Either<ErrorReport, Void> known = authorize(operator, operatorKey);
+    if (known.isLeft()) {
+      return Optional.of(known.getLeft());
+    }
+    boolean allowed =
+        isBootstrap(operator, operatorKey)
+            || keys.directory().mayPatch(new OperatorId(operator), operatorKey);
+    if (!allowed) {
+      metrics.counter("operators.refused").inc();
+      return Optional.of(ErrorReport.of(ErrorCode.OPERATOR_NOT_ALLOWED, operator));
+    }
+    return Optional.empty();
+  }
+
+  private boolean isBootstrap(String operator, String operatorKey) {
+    return agreed.description().getVersion() == 0
+        && !bootstrapDigest.isEmpty()
+        && operator.equals(OperatorRights.BOOTSTRAP_OPERATOR)
+        && new KeyDigest(bootstrapDigest).matches(KeyDigest.of(operatorKey));
+  }
+
+  private FleetPatch named(FleetPatch patch) {
+    if (!patch.getPatchId().isEmpty()) {
+      return patch;
+    }
+    return patch.toBuilder().setPatchId("patch-" + self + "-" + counter.incrementAndGet()).build();
+  }
+
+  private Either<ErrorReport, AuditEntry> takeOutcome(FleetPatch patch, AppendOutcome outcome) {
+    Optional<AuditEntry> accepted = accepted(patch);
+    if (accepted.isPresent()) {
+      logger.atInfo().log(
+          "event=patch_accepted operator=%s patch=%s version=%d",
+          patch.getOperatorName(), patch.getPatchId(), accepted.get().getResultingVersion());
+      return Either.right(accepted.get());
+    }
+    return Either.left(report(patch, outcome));
+  }
+
+  private static ErrorReport report(FleetPatch patch, AppendOutcome outcome) {
+    return switch (outcome) {
+      case AppendOutcome.Folded(long offset, FoldResult.Refused(ErrorReport report)) -> report;
+      case AppendOutcome.Folded(long offset, FoldResult.Unreadable(ErrorReport report)) -> report;
+      case AppendOutcome.Folded folded -> ErrorReport.of(ErrorCode.PATCH_EMPTY, patch.getPatchId());
+      case AppendOutcome.NotAppended(String detail) ->
+          ErrorReport.of(ErrorCode.LOG_UNAVAILABLE, detail);
+      case AppendOutcome.Unknown(String detail) ->
+          ErrorReport.of(ErrorCode.OUTCOME_UNKNOWN, detail);
+    };
+  }
+
+  private Optional<AuditEntry> accepted(FleetPatch patch) {
+    for (AuditEntry entry : agreed.audit()) {
+      boolean same =
+          entry.getPatchId().equals(patch.getPatchId())
+              && entry.getOperatorName().equals(patch.getOperatorName());
+      if (same && entry.getAccepted()) {
+        return Optional.of(entry);
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/org/flamingochute/engine/request/ClaimJudge.java
@@ -0,0 +1,72 @@
+package org.flamingochute.engine.request;
+
+import java.util.List;
+import java.util.Optional;
+import org.flamingochute.decision.agreement.AgreedView;
+import org.flamingochute.decision.error.ErrorCode;
+import org.flamingochute.decision.error.ErrorReport;
+import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.engine.CallerOutcome;
+import org.flamingochute.platform.HeaderField;
+import org.flamingochute.schema.ClaimImage;
+import org.flamingochute.schema.IdempotencySettled;
+import org.flamingochute.schema.Outcome;
+
+/**
+ * Tells what an agreed claim means for a repetition of its request.
+ *
+ * <p>A kept answer is given again. A claim that ended without having run is free. A claim whose
+ * member is gone, or which ended as unknown, or whose answer was too large to keep, gives an
+ * unknown outcome: the request may have run, and it does not run again. A claim under way has to be
+ * waited for.
+ */
+final class ClaimJudge {
+
+  private final AgreedView agreed;
+
+  ClaimJudge(AgreedView agreed) {
+    this.agreed = agreed;
+  }
+
+  /** Returns the present claim when it is not free. */
+  Optional<ClaimImage> claim(ClaimId id) {
+    return agreed
+        .claim(id.team(), id.key())
+        .filter(claim -> claim.getSettled().getOutcome() != Outcome.OUTCOME_NOT_RUN);
+  }
+
+  /** Returns what a repetition is told, or nothing when the claim has to be waited for. */
+  Optional<CallerOutcome> outcome(ClaimId id, ClaimImage claim, String digest) {
+    if (!claim.getClaim().getRequestDigest().equals(digest)) {
+      return Optional.of(
+          new CallerOutcome.NotRun(
+              ErrorReport.of(ErrorCode.CLAIM_OTHER_REQUEST, id.key(), id.team())));
+    }
+    if (claim.hasSettled()) {
+      return Optional.of(settled(claim.getSettled()));
+    }
+    if (!agreed.isMember(new Incarnation(claim.getClaim().getIncarnation()))) {
+      return Optional.of(unknown("the entry that claimed its idempotency key is gone"));
+    }
+    return Optional.empty();
+  }
+
+  private static CallerOutcome settled(IdempotencySettled settled) {
+    if (settled.getOutcome() != Outcome.OUTCOME_ANSWERED) {
+      return unknown("an earlier request with its idempotency key ended as unknown");
+    }
+    if (!settled.getAnswerKept()) {
+      return unknown("it ran before under its idempotency key, and the answer was not kept");
+    }
+    List<HeaderField> headers =
+        settled.getAnswerContentType().isEmpty()
+            ? List.of()
+            : List.of(new HeaderField("Content-Type", settled.getAnswerContentType()));
+    return new CallerOutcome.Answered(
+        settled.getAnswerStatus(), headers, settled.getAnswerBody().toByteArray());
+  }
+
+  private static CallerOutcome unknown(String detail) {
+    return new CallerOutcome.Unknown(ErrorReport.of(ErrorCode.OUTCOME_UNKNOWN, detail));
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/org/flamingochute/engine/request/LaneTurn.java
@@ -0,0 +1,16 @@
+package org.flamingochute.engine.request;
+
+import java.util.List;
+import java.util.Set;
+import org.flamingochute.decision.admission.ShedRequest;
+import org.flamingochute.decision.identity.TeamId;
+
+/**
+ * What one turn of a lane gave.
+ *
+ * @param dispatches attempts to send, each with a token and a place
+ * @param shed requests that left the queue without being dispatched
+ * @param lacking teams whose requests wait for a token
+ */
+record LaneTurn(
+    List<Dispatch> dispatches, List<ShedRequest<RequestTicket>> shed, Set<TeamId> lacking) {}
--- /dev/null
+++ b/engine/src/main/java/org/flamingochute/engine/request/RequestTicket.java
@@ -0,0 +1,101 @@
+package org.flamingochute.engine.request;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.flamingochute.decision.error.ErrorCode;
+import org.flamingochute.decision.error.ErrorReport;
+import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.decision.identity.TeamId;
+import org.flamingochute.engine.CallerOutcome;
+import org.flamingochute.engine.CallerRequest;
+
+/**
+ * One request on its way through this entry.
+ *
+ * <p>The ticket remembers whether an attempt of an idempotent request may have run. From then on no
+ * refusal says that the request was not run.
+ */
+final class RequestTicket {
+
+  private final CallerRequest request;
+  private final TeamId team;
+  private final long deadlineMilliseconds;
+  private final CompletableFuture<CallerOutcome> outcome = new CompletableFuture<>();
+  private final Set<InstanceId> refusingEndpoints = new HashSet<>();
+  private int attempts;
+  private boolean maybeRun;
+
+  /**
+   * Creates a ticket.
+   *
+   * @param deadlineMilliseconds monotonic time at which the caller gives up
+   */
+  RequestTicket(CallerRequest request, TeamId team, long deadlineMilliseconds) {
+    this.request = request;
+    this.team = team;
+    this.deadlineMilliseconds = deadlineMilliseconds;
+  }
+
+  CallerRequest request() {
+    return request;
+  }
+
+  TeamId team() {
+    return team;
+  }
+
+  long deadlineMilliseconds() {
+    return deadlineMilliseconds;
+  }
+
+  CompletableFuture<CallerOutcome> outcome() {
+    return outcome;
+  }
+
+  /** Counts an attempt and returns how many there were. */
+  synchronized int countAttempt() {
+    attempts++;
+    return attempts;
+  }
+
+  synchronized int attempts() {
+    return attempts;
+  }
+
+  synchronized void noteMaybeRun() {
+    maybeRun = true;
+  }
+
+  synchronized void noteRefusal(InstanceId endpoint) {
+    refusingEndpoints.add(endpoint);
+  }
+
+  synchronized Set<InstanceId> refusingEndpoints() {
+    return Set.copyOf(refusingEndpoints);
+  }
+
+  /** Ends the ticket with the endpoint's answer. */
+  void answer(CallerOutcome.Answered answer) {
+    outcome.complete(answer);
+  }
+
+  /** Ends the ticket without an answer; it is told as not run only when no attempt may have run. */
+  void refuse(ErrorReport report) {
+    boolean unknown;
+    synchronized (this) {
+      unknown = maybeRun;
+    }
+    if (unknown) {
+      outcome.complete(
+          new CallerOutcome.Unknown(ErrorReport.of(ErrorCode.OUTCOME_UNKNOWN, report.message())));
+      return;
+    }
+    outcome.complete(new CallerOutcome.NotRun(report));
+  }
+
+  /** Ends the ticket with an unknown outcome. */
+  void failUnknown(String detail) {
+    outcome.complete(new CallerOutcome.Unknown(ErrorReport.of(ErrorCode.OUTCOME_UNKNOWN, detail)));
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/org/flamingochute/engine/request/StartCounts.java
@@ -0,0 +1,23 @@
+package org.flamingochute.engine.request;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.flamingochute.decision.identity.TeamId;
+
+/** Counts the requests that this process has started for each team. */
+public final class StartCounts {
+
+  private final Map<TeamId, AtomicLong> counts = new ConcurrentHashMap<>();
+
+  /** Counts one request. */
+  void started(TeamId team) {
+    counts.computeIfAbsent(team, key -> new AtomicLong()).incrementAndGet();
+  }
+
+  /** Returns the requests started for the team since the process started. */
+  public long total(TeamId team) {
+    AtomicLong count = counts.get(team);
+    return count == null ? 0 : count.get();
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/org/flamingochute/engine/request/package-info.java
@@ -0,0 +1,2 @@
+/** Requests of callers: checks, idempotency claims, queues, dispatch and retries. */
+package org.flamingochute.engine.request;
--- /dev/null
+++ b/engine/src/main/java/org/flamingochute/engine/status/UsageReport.java
@@ -0,0 +1,83 @@
+package org.flamingochute.engine.status;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.flamingochute.decision.agreement.AgreedView;
+import org.flamingochute.decision.escrow.EscrowLedger;
+import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.decision.identity.TeamId;
+import org.flamingochute.engine.peer.GossipSource;
+import org.flamingochute.engine.peer.TokenBroker;
+import org.flamingochute.engine.request.EndpointTable;
+import org.flamingochute.engine.request.StartCounts;
+import org.flamingochute.engine.request.WorkGate;
+import org.flamingochute.schema.EndpointUsage;
+import org.flamingochute.schema.InstanceImage;
+import org.flamingochute.schema.InstanceKind;
+import org.flamingochute.schema.TeamUsage;
+
+/** What this entry tells its peers of teams and endpoints. */
+public final class UsageReport implements GossipSource {
+
+  private final AgreedView agreed;
+  private final EscrowLedger ledger;
+  private final TokenBroker broker;
+  private final EndpointTable endpoints;
+  private final StartCounts starts;
+  private final WorkGate gate;
+
+  /** Creates the report of one entry. */
+  public UsageReport(
+      AgreedView agreed,
+      EscrowLedger ledger,
+      TokenBroker broker,
+      EndpointTable endpoints,
+      StartCounts starts,
+      WorkGate gate) {
+    this.agreed = agreed;
+    this.ledger = ledger;
+    this.broker = broker;
+    this.endpoints = endpoints;
+    this.starts = starts;
+    this.gate = gate;
+  }
+
+  @Override
+  public boolean isStopping() {
+    return gate.isStopping();
+  }
+
+  @Override
+  public Map<String, TeamUsage> teams() {
+    Map<String, TeamUsage> usages = new HashMap<>();
+    for (String name : agreed.description().getTeamsMap().keySet()) {
+      TeamId team = new TeamId(name);
+      int free = ledger.free(team);
+      usages.put(
+          name,
+          TeamUsage.newBuilder()
+              .setTeam(name)
+              .setRunning(ledger.inUse(team))
+              .setWaiting(broker.waiting(team))
+              .setFreeTokens(free)
+              .setStartedTotal(starts.total(team))
+              .build());
+    }
+    return usages;
+  }
+
+  @Override
+  public Map<String, EndpointUsage> endpoints() {
+    Map<InstanceId, Integer> own = endpoints.ownInFlight();
+    Map<String, EndpointUsage> usages = new HashMap<>();
+    for (InstanceImage instance : agreed.instances()) {
+      if (instance.getObserved().getKind() != InstanceKind.INSTANCE_RUNNER) {
+        continue;
+      }
+      String name = instance.getObserved().getInstance();
+      int inFlight = own.getOrDefault(new InstanceId(name), 0);
+      usages.put(name, EndpointUsage.newBuilder().setEndpoint(name).setInFlight(inFlight).build());
+    }
+    return usages;
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/org/flamingochute/engine/upkeep/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Records that the members write so that the agreed state goes on: statements, ticks, snapshots.
+ */
+package org.flamingochute.engine.upkeep;
--- /dev/null
+++ b/engine/src/test/java/org/flamingochute/engine/ClaimPromiseTest.java
@@ -0,0 +1,127 @@
+package org.flamingochute.engine;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.flamingochute.engine.fake.Cluster;
+import org.flamingochute.engine.fake.FakeEndpoints.Behaviour;
+import org.junit.jupiter.api.Named;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** A request with an idempotency key runs at most once, and its answer is given again. */
+class ClaimPromiseTest {
+
+  private static final String PATH = "/red/order";
+
+  private static CompletableFuture<CallerOutcome> order(Cluster cluster, int entry) {
+    return cluster.send(entry, Cluster.RED_KEY, PATH, false, Optional.of("order-1"));
+  }
+
+  @Test
+  void sameKeyAtTwoEntriesAtOnceRunsOnceAndBothGetTheAnswer() {
+    Cluster cluster = Cluster.started(3);
+    CompletableFuture<CallerOutcome> first = order(cluster, 0);
+    CompletableFuture<CallerOutcome> second = order(cluster, 1);
+    cluster.clock.advance(3_000);
+    assertThat(first.join(), instanceOf(CallerOutcome.Answered.class));
+    assertThat(second.join(), instanceOf(CallerOutcome.Answered.class));
+    assertThat(cluster.endpoints.executions(PATH), is(1L));
+  }
+
+  @Test
+  void laterRepetitionGetsTheKeptAnswer() {
+    Cluster cluster = Cluster.started(3);
+    order(cluster, 0);
+    cluster.clock.advance(3_000);
+    CompletableFuture<CallerOutcome> again = order(cluster, 2);
+    cluster.clock.advance(3_000);
+    CallerOutcome.Answered answered = (CallerOutcome.Answered) again.join();
+    assertThat(new String(answered.body()), is(PATH));
+    assertThat(cluster.endpoints.executions(PATH), is(1L));
+  }
+
+  @Test
+  void otherRequestUnderTheSameKeyIsNotRun() {
+    Cluster cluster = Cluster.started(2);
+    order(cluster, 0);
+    cluster.clock.advance(1_000);
+    CompletableFuture<CallerOutcome> other =
+        cluster.send(1, Cluster.RED_KEY, "/red/other", false, Optional.of("order-1"));
+    cluster.clock.advance(3_000);
+    assertThat(other.join(), instanceOf(CallerOutcome.NotRun.class));
+    assertThat(cluster.endpoints.executions("/red/other"), is(0L));
+  }
+
+  @Test
+  void keyOfRequestThatWasNotRunMayBeUsedAgain() {
+    Cluster cluster = Cluster.started(2);
+    for (int i = 1; i <= 3; i++) {
+      cluster.endpoints.behave("runner-" + i, Behaviour.REFUSE);
+    }
+    CompletableFuture<CallerOutcome> first = order(cluster, 0);
+    cluster.clock.advance(3_000);
+    assertThat(first.join(), instanceOf(CallerOutcome.NotRun.class));
+    for (int i = 1; i <= 3; i++) {
+      cluster.endpoints.behave("runner-" + i, Behaviour.ANSWER);
+    }
+    CompletableFuture<CallerOutcome> second = order(cluster, 1);
+    cluster.clock.advance(3_000);
+    assertThat(second.join(), instanceOf(CallerOutcome.Answered.class));
+  }
+
+  @Test
+  void claimOfLostEntryStaysUnknown() {
+    Cluster cluster = Cluster.started(3);
+    cluster.endpoints.setServiceMilliseconds(1_000);
+    order(cluster, 0);
+    cluster.clock.advance(300);
+    cluster.kill(0);
+    cluster.listGone("entry-1");
+    cluster.clock.advance(4_000);
+    CompletableFuture<CallerOutcome> again = order(cluster, 1);
+    cluster.clock.advance(3_000);
+    assertThat(again.join(), instanceOf(CallerOutcome.Unknown.class));
+    assertThat(cluster.endpoints.executions(PATH), is(1L));
+  }
+
+  static Stream<Named<Consumer<Cluster>>> faults() {
+    return Stream.of(
+        Named.of("the log is down", cluster -> cluster.log.setDown(true)),
+        Named.of("the log is slow", cluster -> cluster.log.setLatencyMilliseconds(1_200)),
+        Named.of("replies are lost", cluster -> cluster.log.loseReplies(2)),
+        Named.of("appends are stored twice", cluster -> cluster.log.repeatAppends(3)),
+        Named.of("the first entry is cut off", cluster -> cluster.entry(0).log.setCut(true)));
+  }
+
+  @ParameterizedTest
+  @MethodSource("faults")
+  void refusalIsTrueAndKeyRunsAtMostOnce(Consumer<Cluster> fault) {
+    Cluster cluster = Cluster.started(3);
+    fault.accept(cluster);
+    CompletableFuture<CallerOutcome> first = order(cluster, 0);
+    cluster.clock.advance(2_500);
+    final long ranBefore = cluster.endpoints.executions(PATH);
+    if (first.join() instanceof CallerOutcome.NotRun) {
+      assertThat(ranBefore, is(0L));
+    }
+    cluster.log.setDown(false);
+    cluster.log.setLatencyMilliseconds(1);
+    cluster.entry(0).log.setCut(false);
+    cluster.clock.advance(10_000);
+    if (first.join() instanceof CallerOutcome.NotRun) {
+      assertThat(cluster.endpoints.executions(PATH), is(0L));
+    }
+    CompletableFuture<CallerOutcome> second = order(cluster, 1);
+    cluster.clock.advance(5_000);
+    assertThat(second.join(), instanceOf(CallerOutcome.Answered.class));
+    assertThat(cluster.endpoints.executions(PATH), lessThanOrEqualTo(1L));
+  }
+}
--- /dev/null
+++ b/engine/src/test/java/org/flamingochute/engine/fake/Cluster.java
@@ -0,0 +1,259 @@
+package org.flamingochute.engine.fake;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.flamingochute.decision.fleet.KeyDigest;
+import org.flamingochute.decision.identity.IdempotencyKey;
+import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.decision.identity.ServiceId;
+import org.flamingochute.decision.settings.SettingsReader;
+import org.flamingochute.engine.CallerOutcome;
+import org.flamingochute.engine.CallerRequest;
+import org.flamingochute.engine.DefaultEntryNode;
+import org.flamingochute.engine.EntryNodeSettings;
+import org.flamingochute.schema.EntrySettings;
+import org.flamingochute.schema.FleetPatch;
+import org.flamingochute.schema.InstanceKind;
+import org.flamingochute.schema.InstanceState;
+import org.flamingochute.schema.ListedInstance;
+import org.flamingochute.schema.ResourceAmount;
+import org.flamingochute.schema.SettingChange;
+
+/**
+ * Several entry nodes over the fakes, with a small fleet: three runners, two workers, two teams.
+ */
+public final class Cluster {
+
+  /** Key of team red. */
+  public static final String RED_KEY = "red-secret";
+
+  /** Key of team blue. */
+  public static final String BLUE_KEY = "blue-secret";
+
+  /** Key of the operator ana and of the bootstrap operator. */
+  public static final String OPERATOR_KEY = "operator-secret";
+
+  private static final long TIMEOUT_MILLISECONDS = 2_000;
+  private static final int CORES = 4_000;
+  private static final int MEMORY = 8_192;
+
+  public final VirtualTimers clock = new VirtualTimers();
+  public final FakeLog log = new FakeLog(clock);
+  public final FakePeerNetwork network = new FakePeerNetwork(clock);
+  public final FakeEndpoints endpoints = new FakeEndpoints(clock);
+  public final FakePlatform platform = new FakePlatform(clock);
+  public final FakeWorkers workers = new FakeWorkers(clock);
+  public final List<Entry> entries = new ArrayList<>();
+
+  /** One entry process. */
+  public static final class Entry {
+    public final String instance;
+    public final PausableTimers process;
+    public final FakeLog.View log;
+    public final DefaultEntryNode node;
+    public final MetricRegistry metrics;
+
+    private Entry(
+        String instance,
+        PausableTimers process,
+        FakeLog.View log,
+        DefaultEntryNode node,
+        MetricRegistry metrics) {
+      this.instance = instance;
+      this.process = process;
+      this.log = log;
+      this.node = node;
+      this.metrics = metrics;
+    }
+
+    /** Returns the address for peers. */
+    public String address() {
+      return "peer-" + instance;
+    }
+  }
+
+  /** Starts entries, applies the fleet and waits until all are ready. */
+  public static Cluster started(int entries, String... extraChanges) {
+    Cluster cluster = new Cluster();
+    cluster.listEndpoints();
+    for (int i = 1; i <= entries; i++) {
+      cluster.addEntry("entry-" + i, "entry-" + i + "-a");
+    }
+    cluster.clock.advance(1_500);
+    cluster.applyFleet(extraChanges);
+    cluster.clock.advance(4_000);
+    return cluster;
+  }
+
+  /** Starts an entry process. */
+  public Entry addEntry(String instance, String incarnation) {
+    PausableTimers process = new PausableTimers(clock);
+    FakeLog.View view = log.view(process);
+    MetricRegistry metrics = new MetricRegistry();
+    String address = "peer-" + instance;
+    EntryNodeSettings settings =
+        new EntryNodeSettings(
+            settings(instance),
+            new Incarnation(incarnation),
+            "http-" + instance,
+            address,
+            view,
+            platform.instanceList(process),
+            platform.poolControl(process),
+            workers.control(process),
+            endpoints.client(process),
+            network.transport(address, process),
+            process,
+            metrics);
+    platform.list(
+        ListedInstance.newBuilder()
+            .setInstance(instance)
+            .setIncarnation(incarnation)
+            .setKind(InstanceKind.INSTANCE_ENTRY)
+            .setState(InstanceState.INSTANCE_LIVE)
+            .setDataCentre("centre-a")
+            .setRack("rack-entries")
+            .setAddress(address)
+            .build());
+    Entry entry = new Entry(instance, process, view, DefaultEntryNode.create(settings), metrics);
+    entries.add(entry);
+    entry.node.start();
+    return entry;
+  }
+
+  /** Returns an entry by its place. */
+  public Entry entry(int index) {
+    return entries.get(index);
+  }
+
+  /** Kills an entry's process, without the platform noticing. */
+  public void kill(int index) {
+    entries.get(index).process.kill();
+  }
+
+  /** Has the platform list an instance as gone. */
+  public void listGone(String instance) {
+    platform.setState(instance, InstanceState.INSTANCE_GONE);
+  }
+
+  /** Sends a request of team red; the path begins with the team. */
+  public CompletableFuture<CallerOutcome> send(int entry, String key, String path) {
+    return send(entry, key, path, false, Optional.empty());
+  }
+
+  /** Sends a request. */
+  public CompletableFuture<CallerOutcome> send(
+      int entry, String key, String path, boolean idempotent, Optional<String> idempotencyKey) {
+    return entries
+        .get(entry)
+        .node
+        .request(
+            new CallerRequest(
+                new ServiceId("quote"),
+                Optional.ofNullable(key),
+                "POST",
+                path,
+                List.of(),
+                new byte[0],
+                TIMEOUT_MILLISECONDS,
+                idempotent,
+                idempotencyKey.map(IdempotencyKey::new)));
+  }
+
+  /** Applies changes as the operator ana, against the version that the entry knows. */
+  public void patch(int entry, String... changes) {
+    DefaultEntryNode node = entries.get(entry).node;
+    node.patch(OPERATOR_KEY, patch("ana", node.agreed().description().getVersion(), changes));
+  }
+
+  /** Builds a patch from lines of kind, name, key and value; no value removes. */
+  public static FleetPatch patch(String operator, long base, String... changes) {
+    FleetPatch.Builder patch =
+        FleetPatch.newBuilder().setOperatorName(operator).setBaseVersion(base);
+    for (String change : changes) {
+      String[] words = change.split(" ");
+      SettingChange.Builder built =
+          SettingChange.newBuilder()
+              .setSectionKind(words[0])
+              .setSectionName(words[1].equals("-") ? "" : words[1]);
+      if (words.length > 2) {
+        built.setKey(words[2]);
+      }
+      if (words.length > 3) {
+        built.setValue(words[3]);
+      }
+      patch.addChanges(built);
+    }
+    return patch.build();
+  }
+
+  private void applyFleet(String... extraChanges) {
+    List<String> changes =
+        new ArrayList<>(
+            List.of(
+                "fleet - company rueda",
+                "pool proofs kind runner",
+                "pool proofs size 3",
+                "pool proofs minimum_available 2",
+                "pool press kind worker",
+                "pool press size 2",
+                "service quote pool proofs",
+                "team red share 1",
+                "team red cap 6",
+                "team blue share 1",
+                "team blue cap 6",
+                "key red-1 team red",
+                "key red-1 digest " + KeyDigest.of(RED_KEY),
+                "key blue-1 team blue",
+                "key blue-1 digest " + KeyDigest.of(BLUE_KEY),
+                "operator ana rights patch",
+                "operator ana digest " + KeyDigest.of(OPERATOR_KEY)));
+    changes.addAll(List.of(extraChanges));
+    FleetPatch patch = patch("bootstrap", 0, changes.toArray(new String[0]));
+    entries.getFirst().node.patch(OPERATOR_KEY, patch);
+  }
+
+  private void listEndpoints() {
+    for (int i = 1; i <= 3; i++) {
+      platform.list(listed("runner-" + i, InstanceKind.INSTANCE_RUNNER, "proofs", i));
+    }
+    for (int i = 1; i <= 2; i++) {
+      platform.list(listed("worker-" + i, InstanceKind.INSTANCE_WORKER, "press", i));
+    }
+  }
+
+  private static ListedInstance listed(String name, InstanceKind kind, String pool, int rack) {
+    return ListedInstance.newBuilder()
+        .setInstance(name)
+        .setKind(kind)
+        .setState(InstanceState.INSTANCE_LIVE)
+        .setDataCentre("centre-a")
+        .setRack("rack-" + rack)
+        .setFirstPool(pool)
+        .setAddress(name)
+        .setCapacity(
+            ResourceAmount.newBuilder().setProcessorMillicores(CORES).setMemoryMebibytes(MEMORY))
+        .build();
+  }
+
+  private static EntrySettings settings(String instance) {
+    String text =
+        """
+        [entry]
+        instance = %s
+        data_centre = centre-a
+        bootstrap_operator_digest = %s
+        [platform]
+        log_address = 127.0.0.1:1
+        list_address = 127.0.0.1:1
+        pool_address = 127.0.0.1:1
+        """
+            .formatted(instance, KeyDigest.of(OPERATOR_KEY));
+    return new SettingsReader<>(EntrySettings.getDefaultInstance())
+        .read("entry.ini", text)
+        .getOrElseThrow(reports -> new IllegalStateException(reports.toString()));
+  }
+}
