--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/observation/ObservationJournal.java
@@ -0,0 +1,31 @@
+package org.flamingochute.testsuite.observation;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Collects observations in the order in which they were made. */
+public final class ObservationJournal {
+
+  private final List<Observation> observations = new ArrayList<>();
+
+  /** Adds an observation. */
+  public void add(Observation observation) {
+    observations.add(observation);
+  }
+
+  /** Returns all observations in order. */
+  public List<Observation> all() {
+    return List.copyOf(observations);
+  }
+
+  /** Returns the observations of one kind in order. */
+  public <T extends Observation> List<T> of(Class<T> kind) {
+    List<T> found = new ArrayList<>();
+    for (Observation observation : observations) {
+      if (kind.isInstance(observation)) {
+        found.add(kind.cast(observation));
+      }
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/promise/CapChecker.java
@@ -0,0 +1,55 @@
+package org.flamingochute.testsuite.promise;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.flamingochute.testsuite.observation.Observation;
+
+/**
+ * Counts what runners and workers had running for each team. Nothing may begin that makes the count
+ * larger than the largest cap in force over the last seconds.
+ */
+public final class CapChecker implements PromiseChecker {
+
+  private static final long PROPAGATION_MILLISECONDS = 5_000;
+
+  @Override
+  public String promise() {
+    return "No team has more running than its cap.";
+  }
+
+  @Override
+  public List<String> violations(Evidence evidence) {
+    List<String> violations = new ArrayList<>();
+    Map<String, Integer> running = new HashMap<>();
+    for (Observation observation : evidence.journal().all()) {
+      switch (observation) {
+        case Observation.RunnerBegan began ->
+            begin(evidence, began.atMilliseconds(), began.team(), running, violations);
+        case Observation.TaskBegan began ->
+            begin(evidence, began.atMilliseconds(), began.team(), running, violations);
+        case Observation.RunnerEnded ended -> running.merge(ended.team(), -1, Integer::sum);
+        case Observation.TaskEnded ended -> running.merge(ended.team(), -1, Integer::sum);
+        default -> {}
+      }
+    }
+    return violations;
+  }
+
+  private static void begin(
+      Evidence evidence,
+      long at,
+      String team,
+      Map<String, Integer> running,
+      List<String> violations) {
+    int now = running.merge(team, 1, Integer::sum);
+    long cap =
+        evidence
+            .declarations()
+            .largestWithin(at - PROPAGATION_MILLISECONDS, at, "team " + team, "cap");
+    if (now > cap) {
+      violations.add("at " + at + " ms team " + team + " has " + now + " running, cap " + cap);
+    }
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/promise/LeavingEndpointChecker.java
@@ -0,0 +1,60 @@
+package org.flamingochute.testsuite.promise;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.flamingochute.schema.InstanceState;
+import org.flamingochute.testsuite.observation.Observation;
+
+/** Looks for work that a runner began long after the platform knew that the runner leaves. */
+public final class LeavingEndpointChecker implements PromiseChecker {
+
+  private static final long LIMIT_MILLISECONDS = 4_000;
+
+  @Override
+  public String promise() {
+    return "A leaving endpoint gets no new work after a few seconds.";
+  }
+
+  @Override
+  public List<String> violations(Evidence evidence) {
+    long limit = LIMIT_MILLISECONDS + evidence.listLagMilliseconds();
+    Map<String, Long> leavingSince = new HashMap<>();
+    List<String> violations = new ArrayList<>();
+    for (Observation observation : evidence.journal().all()) {
+      switch (observation) {
+        case Observation.InstanceChanged changed -> {
+          if (changed.state() == InstanceState.INSTANCE_LEAVING) {
+            leavingSince.putIfAbsent(changed.instance(), changed.atMilliseconds());
+          }
+          if (changed.state() == InstanceState.INSTANCE_LIVE) {
+            leavingSince.remove(changed.instance());
+          }
+        }
+        case Observation.RunnerBegan began ->
+            judge(
+                began.atMilliseconds(), began.runner(), began.tag(), limit, leavingSince, violations);
+        case Observation.TaskBegan began ->
+            judge(
+                began.atMilliseconds(), began.worker(), began.tag(), limit, leavingSince, violations);
+        default -> {}
+      }
+    }
+    return violations;
+  }
+
+  private static void judge(
+      long at,
+      String instance,
+      String tag,
+      long limit,
+      Map<String, Long> leavingSince,
+      List<String> violations) {
+    Long since = leavingSince.get(instance);
+    if (since != null && at > since + limit) {
+      violations.add(
+          tag + " began on " + instance + " at " + at + " ms, which leaves since " + since + " ms");
+    }
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/promise/PoolMembershipChecker.java
@@ -0,0 +1,35 @@
+package org.flamingochute.testsuite.promise;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Compares the pools of each instance over all entries that know the same records. */
+public final class PoolMembershipChecker implements PromiseChecker {
+
+  @Override
+  public String promise() {
+    return "An instance belongs to exactly one pool.";
+  }
+
+  @Override
+  public List<String> violations(Evidence evidence) {
+    List<String> violations = new ArrayList<>();
+    Map<String, Map<Long, String>> poolByOffset = new HashMap<>();
+    for (Evidence.FinalView view : evidence.finalViews()) {
+      view.poolOfInstance()
+          .forEach(
+              (instance, pool) -> {
+                Map<Long, String> pools =
+                    poolByOffset.computeIfAbsent(instance, name -> new HashMap<>());
+                String other = pools.putIfAbsent(view.offset(), pool);
+                if (pool.isEmpty() || (other != null && !other.equals(pool))) {
+                  violations.add(
+                      instance + " is in pool \"" + pool + "\" and in \"" + other + "\"");
+                }
+              });
+    }
+    return violations;
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/promise/WholeAnswerChecker.java
@@ -0,0 +1,27 @@
+package org.flamingochute.testsuite.promise;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.flamingochute.testsuite.observation.CallerVerdict;
+import org.flamingochute.testsuite.observation.Observation;
+
+/** Compares each answer with the one that belongs to the request. */
+public final class WholeAnswerChecker implements PromiseChecker {
+
+  @Override
+  public String promise() {
+    return "A caller gets the whole answer to its own request.";
+  }
+
+  @Override
+  public List<String> violations(Evidence evidence) {
+    List<String> violations = new ArrayList<>();
+    for (Observation.RequestEnded ended : evidence.journal().of(Observation.RequestEnded.class)) {
+      String expected = "answer to " + ended.tag();
+      if (ended.verdict() == CallerVerdict.ANSWERED && !ended.body().equals(expected)) {
+        violations.add(ended.call() + " was answered \"" + ended.body() + "\"");
+      }
+    }
+    return violations;
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ExpectationChecker.java
@@ -0,0 +1,135 @@
+package org.flamingochute.testsuite.scenario;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.flamingochute.testsuite.observation.CallerVerdict;
+import org.flamingochute.testsuite.observation.Observation;
+import org.flamingochute.testsuite.promise.Evidence;
+
+/**
+ * Judges the lines of the expect section.
+ *
+ * <ul>
+ *   <li>{@code answered PREFIX N}: at least N tags with the prefix were answered
+ *   <li>{@code not-run PREFIX N}, {@code unknown PREFIX N}: at least N calls were told so
+ *   <li>{@code began PREFIX at-least|at-most N}: how many tags runners or workers began
+ *   <li>{@code job PREFIX PHASE N}: at least N acknowledged jobs are in the phase at the end
+ *   <li>{@code patch NAME accepted|refused|failed}
+ *   <li>{@code version N}: some entry has this version at the end
+ *   <li>{@code action NAME N}: at least N pool actions of this name began
+ *   <li>{@code pool-of INSTANCE POOL}: every final view places the instance there
+ * </ul>
+ */
+final class ExpectationChecker {
+
+  private final Evidence evidence;
+
+  ExpectationChecker(Evidence evidence) {
+    this.evidence = evidence;
+  }
+
+  /** Returns the expectations that do not hold. */
+  List<String> unmet(List<String> expectations) {
+    List<String> unmet = new ArrayList<>();
+    for (String expectation : expectations) {
+      String[] words = expectation.trim().split("\\s+");
+      String found = judge(words);
+      if (!found.isEmpty()) {
+        unmet.add("expected \"" + expectation.trim() + "\", found " + found);
+      }
+    }
+    return unmet;
+  }
+
+  private String judge(String[] words) {
+    return switch (words[0]) {
+      case "answered" -> atLeast(ended(words[1], CallerVerdict.ANSWERED), words[2]);
+      case "not-run" -> atLeast(ended(words[1], CallerVerdict.NOT_RUN), words[2]);
+      case "unknown" -> atLeast(ended(words[1], CallerVerdict.UNKNOWN), words[2]);
+      case "began" -> judgeBegan(words);
+      case "job" -> atLeast(jobs(words[1], words[2]), words[3]);
+      case "patch" -> judgePatch(words[1], words[2]);
+      case "version" -> judgeVersion(Long.parseLong(words[1]));
+      case "action" -> atLeast(actions(words[1]), words[2]);
+      case "pool-of" -> judgePool(words[1], words[2]);
+      default -> throw new IllegalArgumentException("unknown expectation: \"" + words[0] + "\"");
+    };
+  }
+
+  private static String atLeast(long found, String wanted) {
+    return found >= Long.parseLong(wanted) ? "" : String.valueOf(found);
+  }
+
+  private long ended(String prefix, CallerVerdict verdict) {
+    return evidence.journal().of(Observation.RequestEnded.class).stream()
+        .filter(ended -> ended.tag().startsWith(prefix) && ended.verdict() == verdict)
+        .map(Observation.RequestEnded::tag)
+        .distinct()
+        .count();
+  }
+
+  private String judgeBegan(String[] words) {
+    Set<String> tags = new HashSet<>();
+    for (Observation observation : evidence.journal().all()) {
+      switch (observation) {
+        case Observation.RunnerBegan began when began.tag().startsWith(words[1]) ->
+            tags.add(began.tag());
+        case Observation.TaskBegan began when began.tag().startsWith(words[1]) ->
+            tags.add(began.tag());
+        default -> {}
+      }
+    }
+    long wanted = Long.parseLong(words[3]);
+    boolean holds = words[2].equals("at-least") ? tags.size() >= wanted : tags.size() <= wanted;
+    return holds ? "" : String.valueOf(tags.size());
+  }
+
+  private long jobs(String prefix, String phase) {
+    return evidence.journal().of(Observation.JobAcknowledged.class).stream()
+        .filter(acknowledged -> acknowledged.tag().startsWith(prefix))
+        .filter(acknowledged -> hasPhase(acknowledged.job(), phase))
+        .count();
+  }
+
+  private boolean hasPhase(String job, String phase) {
+    return evidence.finalViews().stream()
+        .anyMatch(view -> phase.equals(view.phaseOfJob().get(job)));
+  }
+
+  private String judgePatch(String name, String wanted) {
+    String found = "nothing";
+    for (Observation observation : evidence.journal().all()) {
+      switch (observation) {
+        case Observation.PatchAnswered answered when answered.name().equals(name) ->
+            found = answered.entry().getAccepted() ? "accepted" : "refused";
+        case Observation.PatchFailed failed when failed.name().equals(name) ->
+            found = "failed: " + failed.message();
+        default -> {}
+      }
+    }
+    return found.startsWith(wanted) ? "" : found;
+  }
+
+  private String judgeVersion(long wanted) {
+    boolean holds = evidence.finalViews().stream().anyMatch(view -> view.version() == wanted);
+    return holds ? "" : "other versions";
+  }
+
+  private long actions(String name) {
+    return evidence.journal().of(Observation.PoolActionBegan.class).stream()
+        .filter(began -> began.action().name().equals(name))
+        .count();
+  }
+
+  private String judgePool(String instance, String pool) {
+    for (Evidence.FinalView view : evidence.finalViews()) {
+      String found = view.poolOfInstance().getOrDefault(instance, "none");
+      if (view.connected() && !found.equals(pool)) {
+        return found + " at " + view.entry();
+      }
+    }
+    return "";
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/PatchPlayer.java
@@ -0,0 +1,92 @@
+package org.flamingochute.testsuite.scenario;
+
+import io.vavr.control.Either;
+import java.util.List;
+import org.flamingochute.decision.error.ErrorReport;
+import org.flamingochute.schema.AuditEntry;
+import org.flamingochute.schema.FleetPatch;
+import org.flamingochute.schema.SettingChange;
+import org.flamingochute.testsuite.observation.Observation;
+import org.flamingochute.testsuite.promise.Declarations;
+
+/**
+ * Plays what operators do. A change is written {@code kind/name/key:value}, a removal {@code
+ * remove:kind/name}; for example {@code 500 patch raise entry=a base=1 team/captains/cap:20}.
+ */
+final class PatchPlayer {
+
+  private static final String REMOVAL = "remove:";
+
+  private final ScenarioWorld world;
+  private final Declarations declarations;
+
+  PatchPlayer(ScenarioWorld world, Declarations declarations) {
+    this.world = world;
+    this.declarations = declarations;
+  }
+
+  /** Schedules a command when it is an operator's; returns false for another's. */
+  boolean schedule(ScenarioCommand command) {
+    if (!command.verb().equals("patch")) {
+      return false;
+    }
+    world.clock.after(command.atMilliseconds(), () -> send(command));
+    return true;
+  }
+
+  private void send(ScenarioCommand command) {
+    SimulatedEntry entry =
+        world
+            .entry(command.text("entry", "a"))
+            .orElseThrow(() -> command.error("unknown entry"));
+    FleetPatch.Builder patch =
+        FleetPatch.newBuilder()
+            .setPatchId(command.text("id", command.word(0)))
+            .setOperatorName(command.text("operator", "ana"))
+            .setBaseVersion(command.number("base", 1))
+            .setReason("scenario");
+    command.words().subList(1, command.words().size()).stream()
+        .map(word -> change(command, word))
+        .forEach(patch::addChanges);
+    String operatorKey = command.text("operator-key", "ana-secret");
+    entry
+        .process()
+        .runAfter(
+            1,
+            () ->
+                entry
+                    .node()
+                    .patch(operatorKey, patch.build())
+                    .thenAccept(
+                        result ->
+                            world.clock.after(
+                                1, () -> ended(command.word(0), patch.build(), result))));
+  }
+
+  private static SettingChange change(ScenarioCommand command, String word) {
+    boolean removal = word.startsWith(REMOVAL);
+    String[] parts = (removal ? word.substring(REMOVAL.length()) : word).split("/", 3);
+    if (parts.length < 2) {
+      throw command.error("not a change: \"" + word + "\"");
+    }
+    SettingChange.Builder change =
+        SettingChange.newBuilder().setSectionKind(parts[0]).setSectionName(parts[1]);
+    if (removal) {
+      return change.setKey(parts.length == 3 ? parts[2] : "").build();
+    }
+    String[] keyAndValue = parts[2].split(":", 2);
+    String value = Secrets.replaceByDigests(keyAndValue[1]);
+    return change.setKey(keyAndValue[0]).setValue(value).build();
+  }
+
+  private void ended(String name, FleetPatch patch, Either<ErrorReport, AuditEntry> result) {
+    long now = world.clock.nowMilliseconds();
+    Observation observation = CallPlayer.patchObservation(now, name, result);
+    world.journal.add(observation);
+    if (observation instanceof Observation.PatchAnswered answered
+        && answered.entry().getAccepted()) {
+      List<SettingChange> changes = patch.getChangesList();
+      changes.forEach(change -> declarations.accepted(now, change));
+    }
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/RandomScenario.java
@@ -0,0 +1,149 @@
+package org.flamingochute.testsuite.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Writes the text of a random scenario. The same seed gives the same text, so a schedule that finds
+ * a failure is kept by writing its text to a descriptor file.
+ */
+public final class RandomScenario {
+
+  private static final List<String> ENTRIES = List.of("a", "b", "c");
+  private static final List<String> RUNNERS = List.of("p1", "p2", "p3", "q1", "q2", "q3");
+  private static final List<String> WORKERS = List.of("w1", "w2", "w3");
+  private static final List<String> BEHAVIOURS =
+      List.of("late", "short", "crossed", "busy", "cut", "failing");
+  private static final int FIRST_FAULT_MILLISECONDS = 2_500;
+  private static final int FAULT_SPAN_MILLISECONDS = 9_000;
+  private static final int LONGEST_FAULT_MILLISECONDS = 9_000;
+  private static final int FAULT_KINDS = 12;
+
+  private final UniformRandomProvider random;
+  private final List<String> calls = new ArrayList<>();
+  private final List<String> faults = new ArrayList<>();
+  private boolean entryLost;
+
+  private RandomScenario(long seed) {
+    random = RandomSource.SPLIT_MIX_64.create(seed);
+  }
+
+  /** Returns the text of the scenario with the given seed. */
+  public static String text(long seed) {
+    RandomScenario scenario = new RandomScenario(seed);
+    scenario.addCalls();
+    int count = 1 + scenario.random.nextInt(4);
+    for (int i = 0; i < count; i++) {
+      scenario.addFault();
+    }
+    return scenario.toText(seed);
+  }
+
+  private String toText(long seed) {
+    StringBuilder text = new StringBuilder("# Random schedule with seed " + seed + ".\n");
+    text.append("=== scenario\nduration = 45000\nseed = ").append(seed).append('\n');
+    text.append("=== faults\n");
+    faults.forEach(fault -> text.append(fault).append('\n'));
+    text.append("=== calls\n");
+    calls.forEach(call -> text.append(call).append('\n'));
+    return text.toString();
+  }
+
+  private void addCalls() {
+    calls.add(
+        "2000 request steady service=proofs key=captains-secret repeat=300 every="
+            + (20 + random.nextInt(40))
+            + " run="
+            + (10 + random.nextInt(150)));
+    calls.add(
+        "2000 request order service=quotes key=shops-secret once=true retries=3 repeat=80 every="
+            + (30 + random.nextInt(120))
+            + " run="
+            + (10 + random.nextInt(200)));
+    calls.add("2000 request open service=catalogue repeat=100 every=70 run=40 idempotent=true");
+    calls.add(
+        "2100 job batch pool=print key=captains-secret once=true idempotent=false repeat=8 every=200"
+            + " run="
+            + (200 + random.nextInt(2_000)));
+    calls.add("2200 job night pool=print key=shops-secret repeat=6 every=300 run=700");
+    addPatches();
+  }
+
+  private void addPatches() {
+    int version = 1;
+    int count = random.nextInt(4);
+    for (int i = 0; i < count; i++) {
+      int at = FIRST_FAULT_MILLISECONDS + 3_000 * i + random.nextInt(2_000);
+      calls.add(at + " patch change" + i + " entry=" + pick(ENTRIES) + " base=" + version + " "
+          + patchWord());
+      version++;
+    }
+  }
+
+  private String patchWord() {
+    return switch (random.nextInt(4)) {
+      case 0 -> "team/captains/cap:" + (2 + random.nextInt(20));
+      case 1 -> "team/shops/cap:" + (1 + random.nextInt(8));
+      case 2 -> "wave/kernel/pools:proofs,print";
+      default -> "pool/quotes/size:2";
+    };
+  }
+
+  private String pick(List<String> names) {
+    return names.get(random.nextInt(names.size()));
+  }
+
+  private void addFault() {
+    int begin = FIRST_FAULT_MILLISECONDS + random.nextInt(FAULT_SPAN_MILLISECONDS);
+    int end = begin + 200 + random.nextInt(LONGEST_FAULT_MILLISECONDS);
+    switch (random.nextInt(FAULT_KINDS)) {
+      case 0 -> loseEntry(begin, end);
+      case 1 -> pair(begin, "freeze " + pick(ENTRIES), end, "freeze ", "thaw ");
+      case 2 -> cut(begin, end, "cut ", pick(ENTRIES), pick(ENTRIES));
+      case 3 -> cut(begin, end, "cut-one-way ", pick(ENTRIES), pick(ENTRIES));
+      case 4 -> cut(begin, end, "cut ", pick(ENTRIES), "log");
+      case 5 -> {
+        faults.add(begin + " log-down");
+        faults.add(end + " log-up");
+      }
+      case 6 -> {
+        faults.add(begin + " log-slow " + (50 + random.nextInt(900)));
+        faults.add(end + " log-slow 0");
+      }
+      case 7 -> faults.add(begin + " log-lose-replies " + (1 + random.nextInt(6)));
+      case 8 -> faults.add(begin + " log-repeat-appends " + (1 + random.nextInt(30)));
+      case 9 -> {
+        String runner = pick(RUNNERS);
+        faults.add(begin + " runner " + runner + " " + pick(BEHAVIOURS));
+        faults.add(end + " runner " + runner + " healthy");
+      }
+      case 10 -> faults.add(begin + " lose-instance " + pick(random.nextBoolean() ? RUNNERS : WORKERS));
+      default -> faults.add(begin + " list-lag " + (300 + random.nextInt(2_000)));
+    }
+  }
+
+  private void loseEntry(int begin, int end) {
+    if (entryLost) {
+      return;
+    }
+    entryLost = true;
+    String entry = pick(ENTRIES);
+    faults.add(begin + (random.nextBoolean() ? " kill " : " stop ") + entry);
+    faults.add(end + 40_000 / 4 + " start " + entry);
+  }
+
+  private void pair(int begin, String fault, int end, String from, String to) {
+    faults.add(begin + " " + fault);
+    faults.add(end + " " + fault.replace(from, to));
+  }
+
+  private void cut(int begin, int end, String verb, String one, String other) {
+    if (one.equals(other)) {
+      return;
+    }
+    faults.add(begin + " " + verb + one + " " + other);
+    faults.add(end + " heal " + one + " " + other);
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioDescriptor.java
@@ -0,0 +1,82 @@
+package org.flamingochute.testsuite.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A scenario as read from its file.
+ *
+ * @param name name of the file
+ * @param header the settings of the scenario: entries, runners, workers, duration, seed
+ * @param fleet the fleet description in force from the begin
+ * @param faults what goes wrong, by time
+ * @param calls what callers and operators do, by time
+ * @param expectations what must have been seen besides the promises, which always hold
+ */
+public record ScenarioDescriptor(
+    String name,
+    ScenarioHeader header,
+    String fleet,
+    List<ScenarioCommand> faults,
+    List<ScenarioCommand> calls,
+    List<String> expectations) {
+
+  private static final String SECTION_MARK = "=== ";
+
+  /**
+   * Reads a descriptor. Lines that begin with {@code #} are comments; {@code === name} begins a
+   * section, one of scenario, fleet, faults, calls and expect.
+   *
+   * @throws IllegalArgumentException naming the file and line of a mistake
+   */
+  public static ScenarioDescriptor parse(String name, String text) {
+    Map<String, List<String>> sections = new TreeMap<>();
+    List<String> current = null;
+    int lineNumber = 0;
+    for (String line : text.split("\n")) {
+      lineNumber++;
+      if (line.startsWith(SECTION_MARK)) {
+        current = new ArrayList<>();
+        String section = line.substring(SECTION_MARK.length()).trim();
+        if (!List.of("scenario", "fleet", "faults", "calls", "expect").contains(section)) {
+          throw new IllegalArgumentException(
+              name + ":" + lineNumber + ": unknown section \"" + section + "\"");
+        }
+        sections.put(section, current);
+        continue;
+      }
+      if (line.isBlank() || line.startsWith("#")) {
+        continue;
+      }
+      if (current == null) {
+        throw new IllegalArgumentException(
+            name + ":" + lineNumber + ": text before the first section: \"" + line + "\"");
+      }
+      current.add(line);
+    }
+    ScenarioHeader header =
+        ScenarioHeader.parse(name, sections.getOrDefault("scenario", List.of()));
+    String fleet =
+        sections.containsKey("fleet")
+            ? String.join("\n", sections.get("fleet"))
+            : ScenarioFiles.fleet(header.fleet());
+    return new ScenarioDescriptor(
+        name,
+        header,
+        fleet,
+        commands(name + " [faults]", sections.getOrDefault("faults", List.of())),
+        commands(name + " [calls]", sections.getOrDefault("calls", List.of())),
+        sections.getOrDefault("expect", List.of()));
+  }
+
+  private static List<ScenarioCommand> commands(String place, List<String> lines) {
+    return lines.stream().map(line -> ScenarioCommand.parse(place, line)).toList();
+  }
+
+  @Override
+  public String toString() {
+    return name;
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioFiles.java
@@ -0,0 +1,66 @@
+package org.flamingochute.testsuite.scenario;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URISyntaxException;
+import java.net.URL;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** Finds the descriptor files and fleet descriptions of the suite. */
+public final class ScenarioFiles {
+
+  private static final String SUFFIX = ".scenario";
+
+  private ScenarioFiles() {}
+
+  /** Returns all scenarios of a folder in order of their names. */
+  public static List<ScenarioDescriptor> all(String folder) {
+    try (Stream<Path> files = Files.list(path(folder))) {
+      return files
+          .filter(file -> file.toString().endsWith(SUFFIX))
+          .sorted()
+          .map(ScenarioFiles::read)
+          .toList();
+    } catch (IOException exception) {
+      throw new UncheckedIOException(exception);
+    }
+  }
+
+  /** Returns one scenario by its folder and name without suffix. */
+  public static ScenarioDescriptor one(String folder, String name) {
+    return read(path(folder).resolve(name + SUFFIX));
+  }
+
+  /** Returns the text of a fleet description. */
+  static String fleet(String name) {
+    return text(path("fleets").resolve(name + ".ini"));
+  }
+
+  private static ScenarioDescriptor read(Path file) {
+    String name = file.getFileName().toString().replace(SUFFIX, "");
+    return ScenarioDescriptor.parse(name, text(file));
+  }
+
+  private static String text(Path file) {
+    try {
+      return Files.readString(file);
+    } catch (IOException exception) {
+      throw new UncheckedIOException(exception);
+    }
+  }
+
+  private static Path path(String folder) {
+    URL url = ScenarioFiles.class.getClassLoader().getResource(folder);
+    if (url == null) {
+      throw new IllegalArgumentException("no folder \"" + folder + "\" on the class path");
+    }
+    try {
+      return Path.of(url.toURI());
+    } catch (URISyntaxException exception) {
+      throw new IllegalArgumentException("not a folder: " + url, exception);
+    }
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioSettings.java
@@ -0,0 +1,32 @@
+package org.flamingochute.testsuite.scenario;
+
+import org.flamingochute.decision.settings.SettingsReader;
+import org.flamingochute.schema.EntrySettings;
+
+/** Settings of the entries in scenarios: the defaults of the schema. */
+public final class ScenarioSettings {
+
+  private static final String REQUIRED_KEYS =
+      """
+      [entry]
+      instance = scenario
+      data_centre = dc1
+      [platform]
+      log_address = 127.0.0.1:1
+      list_address = 127.0.0.1:1
+      pool_address = 127.0.0.1:1
+      [limit]
+      maximum_waiting_requests = 64
+      [timing]
+      snapshot_records = 200
+      """;
+
+  private ScenarioSettings() {}
+
+  /** Returns the settings. */
+  public static EntrySettings standard() {
+    return SettingsReader.of(EntrySettings.getDefaultInstance())
+        .read("scenario", REQUIRED_KEYS)
+        .getOrElseThrow(errors -> new IllegalStateException(errors.toString()));
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioTest.java
@@ -0,0 +1,23 @@
+package org.flamingochute.testsuite.scenario;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Plays every descriptor file; all promises must hold and all expectations must be met. */
+final class ScenarioTest {
+
+  static List<ScenarioDescriptor> scenarios() {
+    return ScenarioFiles.all("scenarios");
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("scenarios")
+  void keepsAllPromises(ScenarioDescriptor scenario) {
+    List<String> problems = new ScenarioRunner(ScenarioSettings.standard()).problems(scenario);
+    assertThat(problems, empty());
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioWorld.java
@@ -0,0 +1,188 @@
+package org.flamingochute.testsuite.scenario;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.flamingochute.decision.fleet.FleetDescriptionParser;
+import org.flamingochute.decision.fleet.FleetDifference;
+import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.engine.DefaultEntryNode;
+import org.flamingochute.engine.EntryNode;
+import org.flamingochute.engine.EntryNodeSettings;
+import org.flamingochute.schema.EntrySettings;
+import org.flamingochute.schema.FleetDescription;
+import org.flamingochute.schema.FleetPatch;
+import org.flamingochute.schema.InstanceKind;
+import org.flamingochute.schema.InstanceState;
+import org.flamingochute.schema.LogRecord;
+import org.flamingochute.testsuite.observation.Observation;
+import org.flamingochute.testsuite.observation.ObservationJournal;
+import org.flamingochute.testsuite.simulation.NetworkConditions;
+import org.flamingochute.testsuite.simulation.SimulatedInstance;
+import org.flamingochute.testsuite.simulation.SimulatedLog;
+import org.flamingochute.testsuite.simulation.SimulatedPeerNetwork;
+import org.flamingochute.testsuite.simulation.SimulatedPlatform;
+import org.flamingochute.testsuite.simulation.SimulatedProcess;
+import org.flamingochute.testsuite.simulation.SimulatedRunners;
+import org.flamingochute.testsuite.simulation.SimulatedWorkers;
+import org.flamingochute.testsuite.simulation.VirtualClock;
+
+/** Everything in a scenario: real entry code, and around it virtual time, network and platform. */
+final class ScenarioWorld {
+
+  private static final int LOG_FORMAT_VERSION = 1;
+
+  final VirtualClock clock = new VirtualClock();
+  final NetworkConditions network = new NetworkConditions();
+  final ObservationJournal journal = new ObservationJournal();
+  final SimulatedLog log = new SimulatedLog(clock, network);
+  final SimulatedPlatform platform = new SimulatedPlatform(clock, journal);
+  final SimulatedRunners runners = new SimulatedRunners(clock, network, platform, journal);
+  final SimulatedWorkers workers = new SimulatedWorkers(clock, network, platform, journal);
+  final SimulatedPeerNetwork peers = new SimulatedPeerNetwork(clock, network);
+
+  private final Map<String, SimulatedEntry> entries = new LinkedHashMap<>();
+  private final Map<String, Integer> starts = new LinkedHashMap<>();
+  private final EntrySettings settings;
+
+  /** Builds the world of a scenario up to the start of its entries. */
+  ScenarioWorld(ScenarioDescriptor scenario, EntrySettings settings) {
+    this.settings = settings;
+    platform.setPlannedStopListener(new PlannedStops());
+    addInstances(scenario.header());
+    publishFleet(scenario);
+    scenario.header().entries().forEach(this::startEntry);
+  }
+
+  private void addInstances(ScenarioHeader header) {
+    for (ScenarioHeader.InstanceText text : header.instances()) {
+      InstanceKind kind =
+          text.kind().equals("runner") ? InstanceKind.INSTANCE_RUNNER : InstanceKind.INSTANCE_WORKER;
+      platform.add(
+          new SimulatedInstance(
+              text.name(), kind, text.pool(), text.dataCentre(), text.rack()));
+    }
+    int position = 0;
+    for (String entry : header.entries()) {
+      String dataCentre = "dc" + (1 + position++ % 3);
+      platform.add(
+          new SimulatedInstance(entry, InstanceKind.INSTANCE_ENTRY, "", dataCentre, "entry-rack"));
+    }
+  }
+
+  private void publishFleet(ScenarioDescriptor scenario) {
+    String text = Secrets.replaceByDigests(scenario.fleet());
+    FleetDescription description =
+        FleetDescriptionParser.parse(scenario.name(), text)
+            .getOrElseThrow(errors -> new IllegalArgumentException(errors.toString()));
+    FleetPatch patch =
+        FleetPatch.newBuilder()
+            .setPatchId("first")
+            .setOperatorName("bootstrap")
+            .setBaseVersion(0)
+            .addAllChanges(
+                FleetDifference.between(FleetDescription.getDefaultInstance(), description))
+            .build();
+    LogRecord record =
+        LogRecord.newBuilder()
+            .setRecordId("first")
+            .setFormatVersion(LOG_FORMAT_VERSION)
+            .setPatch(patch)
+            .build();
+    log.appendDirectly(record.toByteArray());
+  }
+
+  /** Starts an entry, as the first or as a replacement with a new incarnation. */
+  void startEntry(String name) {
+    int start = starts.merge(name, 1, Integer::sum);
+    Incarnation incarnation = new Incarnation(name + "." + start);
+    platform.setIncarnation(name, incarnation.value());
+    SimulatedProcess process = new SimulatedProcess(name, clock);
+    EntryNodeSettings nodeSettings =
+        new EntryNodeSettings(
+            settingsOf(name),
+            incarnation,
+            name,
+            name,
+            log.reachedBy(process),
+            platform.listReachedBy(process),
+            platform.poolControlReachedBy(process),
+            workers.reachedBy(process),
+            runners.reachedBy(process),
+            peers.transportOf(process),
+            process,
+            new MetricRegistry());
+    EntryNode node = DefaultEntryNode.create(nodeSettings);
+    entries.put(name, new SimulatedEntry(process, incarnation, node));
+    process.runAfter(0, node::start);
+    process.runAfter(0, () -> sampleVersion(name, incarnation, process, node, -1));
+  }
+
+  private EntrySettings settingsOf(String name) {
+    EntrySettings.Builder builder = settings.toBuilder();
+    builder.getEntryBuilder().setInstance(name).setDataCentre("dc1");
+    return builder.build();
+  }
+
+  private void sampleVersion(
+      String name,
+      Incarnation incarnation,
+      SimulatedProcess process,
+      EntryNode node,
+      long lastVersion) {
+    long version = node.agreed().description().getVersion();
+    if (version != lastVersion) {
+      journal.add(
+          new Observation.VersionSeen(
+              clock.nowMilliseconds(), name, incarnation.value(), version));
+    }
+    process.runAfter(
+        SAMPLE_MILLISECONDS, () -> sampleVersion(name, incarnation, process, node, version));
+  }
+
+  private static final long SAMPLE_MILLISECONDS = 100;
+
+  /** Returns an entry's latest start. */
+  Optional<SimulatedEntry> entry(String name) {
+    return Optional.ofNullable(entries.get(name));
+  }
+
+  /** Returns the latest start of every entry. */
+  Collection<SimulatedEntry> entries() {
+    return List.copyOf(entries.values());
+  }
+
+  /** Ends a process and has the platform list its instance as gone. */
+  void loseEntry(String name) {
+    entries.get(name).process().kill();
+    platform.setState(name, InstanceState.INSTANCE_GONE);
+  }
+
+  /** Takes an instance away at once, with whatever runs on it. */
+  void loseInstance(SimulatedInstance instance) {
+    if (instance.kind() == InstanceKind.INSTANCE_ENTRY) {
+      loseEntry(instance.name());
+      return;
+    }
+    platform.setState(instance.name(), InstanceState.INSTANCE_GONE);
+    runners.cutAll(instance.name(), false);
+    workers.cutAll(instance.name(), false);
+  }
+
+  private final class PlannedStops implements SimulatedPlatform.PlannedStopListener {
+
+    @Override
+    public boolean isIdle(String instance) {
+      return runners.isIdle(instance) && workers.isIdle(instance);
+    }
+
+    @Override
+    public void rebooted(String instance) {
+      runners.cutAll(instance, true);
+      workers.cutAll(instance, true);
+    }
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedLog.java
@@ -0,0 +1,190 @@
+package org.flamingochute.testsuite.simulation;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.flamingochute.platform.PlatformError;
+import org.flamingochute.platform.PlatformLog;
+import org.flamingochute.schema.ReadResponse;
+import org.flamingochute.schema.StoredRecord;
+
+/**
+ * The platform's log with its faults: down, slow, replies lost after the effect, appends taken
+ * twice, records expired.
+ */
+public final class SimulatedLog {
+
+  private static final long TIMEOUT_MILLISECONDS = 2_000;
+
+  private final VirtualClock clock;
+  private final NetworkConditions network;
+  private final List<StoredRecord> records = new ArrayList<>();
+  private long earliestOffset;
+  private long retainedRecords = Long.MAX_VALUE;
+  private boolean down;
+  private long delayMilliseconds;
+  private int repliesToLose;
+  private int appendsToRepeat;
+
+  /** Creates an empty log. */
+  public SimulatedLog(VirtualClock clock, NetworkConditions network) {
+    this.clock = clock;
+    this.network = network;
+  }
+
+  /** Makes the log unreachable, or reachable again. */
+  public void setDown(boolean isDown) {
+    down = isDown;
+  }
+
+  /** Adds a delay to each call. */
+  public void setDelay(long milliseconds) {
+    delayMilliseconds = milliseconds;
+  }
+
+  /** Loses the replies of the next appends, which take effect. */
+  public void loseReplies(int count) {
+    repliesToLose = count;
+  }
+
+  /** Stores the next appends twice. */
+  public void repeatAppends(int count) {
+    appendsToRepeat = count;
+  }
+
+  /** Keeps only the newest records from now on. */
+  public void retain(long count) {
+    retainedRecords = count;
+    expire();
+  }
+
+  /** Returns all records that are kept. */
+  public List<StoredRecord> records() {
+    return List.copyOf(records);
+  }
+
+  /** Appends at once, as operators' own tools or another writer would. */
+  public long appendDirectly(byte[] record) {
+    return store(List.of(record));
+  }
+
+  /** Returns the log as a process reaches it. */
+  public PlatformLog reachedBy(SimulatedProcess process) {
+    return new ProcessLog(process);
+  }
+
+  private long store(List<byte[]> appended) {
+    long first = earliestOffset + records.size();
+    long offset = first;
+    for (byte[] record : appended) {
+      records.add(
+          StoredRecord.newBuilder()
+              .setOffset(offset)
+              .setAppendTimeMilliseconds(clock.wallMilliseconds())
+              .setRecord(ByteString.copyFrom(record))
+              .build());
+      offset++;
+    }
+    expire();
+    return first;
+  }
+
+  private void expire() {
+    while (records.size() > retainedRecords) {
+      records.remove(0);
+      earliestOffset++;
+    }
+  }
+
+  private Either<PlatformError, ReadResponse> readNow(long fromOffset, int maximumRecords) {
+    if (fromOffset < earliestOffset) {
+      return Either.left(
+          new PlatformError.Expired("offset " + fromOffset + " has expired", earliestOffset));
+    }
+    int begin = (int) Math.min(records.size(), fromOffset - earliestOffset);
+    int end = Math.min(records.size(), begin + maximumRecords);
+    return Either.right(
+        ReadResponse.newBuilder()
+            .addAllRecords(records.subList(begin, end))
+            .setEarliestOffset(earliestOffset)
+            .setNextOffset(earliestOffset + records.size())
+            .build());
+  }
+
+  private final class ProcessLog implements PlatformLog {
+
+    private final SimulatedProcess process;
+
+    ProcessLog(SimulatedProcess process) {
+      this.process = process;
+    }
+
+    @Override
+    public CompletableFuture<Either<PlatformError, Long>> append(List<byte[]> appended) {
+      CompletableFuture<Either<PlatformError, Long>> result = new CompletableFuture<>();
+      List<byte[]> copies = List.copyOf(appended);
+      process.runAfter(
+          TIMEOUT_MILLISECONDS,
+          () -> result.complete(Either.left(new PlatformError.Unknown("append timed out"))));
+      if (network.passes(process.name(), NetworkConditions.LOG)) {
+        clock.after(requestLatency(), () -> appendAtLog(copies, result));
+      }
+      return result;
+    }
+
+    private void appendAtLog(
+        List<byte[]> appended, CompletableFuture<Either<PlatformError, Long>> result) {
+      if (down) {
+        return;
+      }
+      long offset = store(appended);
+      if (appendsToRepeat > 0) {
+        appendsToRepeat--;
+        store(appended);
+      }
+      if (repliesToLose > 0) {
+        repliesToLose--;
+        return;
+      }
+      reply(() -> result.complete(Either.right(offset)));
+    }
+
+    @Override
+    public CompletableFuture<Either<PlatformError, ReadResponse>> read(
+        long fromOffset, int maximumRecords) {
+      CompletableFuture<Either<PlatformError, ReadResponse>> result = new CompletableFuture<>();
+      process.runAfter(
+          TIMEOUT_MILLISECONDS,
+          () -> result.complete(Either.left(new PlatformError.Unknown("read timed out"))));
+      if (network.passes(process.name(), NetworkConditions.LOG)) {
+        clock.after(requestLatency(), () -> readAtLog(fromOffset, maximumRecords, result));
+      }
+      return result;
+    }
+
+    private void readAtLog(
+        long fromOffset,
+        int maximumRecords,
+        CompletableFuture<Either<PlatformError, ReadResponse>> result) {
+      if (down) {
+        return;
+      }
+      Either<PlatformError, ReadResponse> response = readNow(fromOffset, maximumRecords);
+      reply(() -> result.complete(response));
+    }
+
+    private void reply(Runnable completion) {
+      if (network.passes(NetworkConditions.LOG, process.name())) {
+        process.runAfter(
+            network.latencyMilliseconds(NetworkConditions.LOG, process.name()), completion);
+      }
+    }
+
+    private long requestLatency() {
+      return delayMilliseconds
+          + network.latencyMilliseconds(process.name(), NetworkConditions.LOG);
+    }
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedPeerNetwork.java
@@ -0,0 +1,73 @@
+package org.flamingochute.testsuite.simulation;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.flamingochute.platform.PeerTransport;
+import org.flamingochute.schema.PeerFrame;
+
+/** Carries frames between entries; a peer's address is the name of its instance. */
+public final class SimulatedPeerNetwork {
+
+  private final VirtualClock clock;
+  private final NetworkConditions network;
+  private final Map<String, Port> ports = new HashMap<>();
+  private long framesSent;
+  private long bytesSent;
+
+  /** Creates a network without ports. */
+  public SimulatedPeerNetwork(VirtualClock clock, NetworkConditions network) {
+    this.clock = clock;
+    this.network = network;
+  }
+
+  /** Returns the transport of a process; it replaces the port of an earlier process there. */
+  public PeerTransport transportOf(SimulatedProcess process) {
+    Port port = new Port(process);
+    ports.put(process.name(), port);
+    return port;
+  }
+
+  /** Returns the number of frames that were sent. */
+  public long framesSent() {
+    return framesSent;
+  }
+
+  /** Returns the bytes of all frames that were sent. */
+  public long bytesSent() {
+    return bytesSent;
+  }
+
+  private final class Port implements PeerTransport {
+
+    private final SimulatedProcess process;
+    private PeerFrameListener listener;
+
+    Port(SimulatedProcess process) {
+      this.process = process;
+    }
+
+    @Override
+    public void send(String peerAddress, PeerFrame frame) {
+      framesSent++;
+      bytesSent += frame.getSerializedSize();
+      if (!network.passes(process.name(), peerAddress)) {
+        return;
+      }
+      long latency = network.latencyMilliseconds(process.name(), peerAddress);
+      clock.after(latency, () -> deliver(peerAddress, frame));
+    }
+
+    private void deliver(String peerAddress, PeerFrame frame) {
+      Port receiver = ports.get(peerAddress);
+      if (receiver == null || receiver.listener == null) {
+        return;
+      }
+      receiver.process.runAfter(0, () -> receiver.listener.frameReceived(frame));
+    }
+
+    @Override
+    public void onFrame(PeerFrameListener frameListener) {
+      listener = frameListener;
+    }
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedPlatform.java
@@ -0,0 +1,195 @@
+package org.flamingochute.testsuite.simulation;
+
+import io.vavr.control.Either;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.flamingochute.platform.InstanceList;
+import org.flamingochute.platform.PlatformError;
+import org.flamingochute.platform.PoolControl;
+import org.flamingochute.schema.InstanceListing;
+import org.flamingochute.schema.InstanceState;
+import org.flamingochute.schema.PoolAction;
+import org.flamingochute.schema.PoolOperation;
+import org.flamingochute.schema.PoolOperationStatus;
+import org.flamingochute.testsuite.observation.Observation;
+import org.flamingochute.testsuite.observation.ObservationJournal;
+
+/** The platform's instances, its lagging list and its pool operations. */
+public final class SimulatedPlatform {
+
+  private static final long CALL_MILLISECONDS = 2;
+  private static final long REBOOT_MILLISECONDS = 500;
+
+  private final VirtualClock clock;
+  private final ObservationJournal journal;
+  private final Map<String, SimulatedInstance> instances = new LinkedHashMap<>();
+  private final Deque<InstanceListing> listings = new ArrayDeque<>();
+  private final Map<String, PoolActionProgress> operations = new HashMap<>();
+  private PlannedStopListener plannedStopListener = PlannedStopListener.NONE;
+  private long listLagMilliseconds = 300;
+
+  /** Learns of planned stops, so that runners and workers can show what they cut. */
+  public interface PlannedStopListener {
+
+    /** Has nothing running anywhere. */
+    PlannedStopListener NONE =
+        new PlannedStopListener() {
+          @Override
+          public boolean isIdle(String instance) {
+            return true;
+          }
+
+          @Override
+          public void rebooted(String instance) {}
+        };
+
+    /** Tells whether nothing runs on the instance. */
+    boolean isIdle(String instance);
+
+    /** The instance was rebooted or retired; whatever ran on it is cut. */
+    void rebooted(String instance);
+  }
+
+  private record PoolActionProgress(long doneAtMilliseconds) {}
+
+  /** Creates a platform without instances. */
+  public SimulatedPlatform(VirtualClock clock, ObservationJournal journal) {
+    this.clock = clock;
+    this.journal = journal;
+  }
+
+  /** Sets who learns of planned stops. */
+  public void setPlannedStopListener(PlannedStopListener listener) {
+    plannedStopListener = listener;
+  }
+
+  /** Adds an instance. */
+  public void add(SimulatedInstance instance) {
+    instances.put(instance.name(), instance);
+    changed(instance);
+  }
+
+  /** Returns an instance by its name. */
+  public Optional<SimulatedInstance> instance(String name) {
+    return Optional.ofNullable(instances.get(name));
+  }
+
+  /** Returns all instances. */
+  public Collection<SimulatedInstance> instances() {
+    return instances.values();
+  }
+
+  /** Sets the age of the list that is served. */
+  public void setListLag(long milliseconds) {
+    listLagMilliseconds = milliseconds;
+  }
+
+  /** Changes the state of an instance. */
+  public void setState(String name, InstanceState state) {
+    SimulatedInstance instance = instances.get(name);
+    if (instance == null) {
+      throw new IllegalArgumentException("unknown instance: \"" + name + "\"");
+    }
+    instance.setState(state);
+    changed(instance);
+  }
+
+  /** Names the process start of an entry's instance and makes it live. */
+  public void setIncarnation(String name, String incarnation) {
+    instances.get(name).setIncarnation(incarnation);
+    setState(name, InstanceState.INSTANCE_LIVE);
+  }
+
+  private void changed(SimulatedInstance instance) {
+    journal.add(
+        new Observation.InstanceChanged(
+            clock.nowMilliseconds(), instance.name(), instance.state()));
+    InstanceListing.Builder listing =
+        InstanceListing.newBuilder().setAsOfMilliseconds(clock.wallMilliseconds());
+    instances.values().forEach(each -> listing.addInstances(each.listed()));
+    listings.addLast(listing.build());
+  }
+
+  private InstanceListing laggingListing() {
+    long asOf = clock.wallMilliseconds() - listLagMilliseconds;
+    InstanceListing found = listings.peekFirst();
+    for (InstanceListing listing : listings) {
+      if (listing.getAsOfMilliseconds() > asOf) {
+        break;
+      }
+      found = listing;
+    }
+    return found;
+  }
+
+  /** Returns the instance list as a process reaches it. */
+  public InstanceList listReachedBy(SimulatedProcess process) {
+    return () -> {
+      CompletableFuture<Either<PlatformError, InstanceListing>> result = new CompletableFuture<>();
+      process.runAfter(CALL_MILLISECONDS, () -> result.complete(Either.right(laggingListing())));
+      return result;
+    };
+  }
+
+  /** Returns pool control as a process reaches it. */
+  public PoolControl poolControlReachedBy(SimulatedProcess process) {
+    return operation -> {
+      CompletableFuture<Either<PlatformError, PoolOperationStatus>> result =
+          new CompletableFuture<>();
+      clock.after(
+          CALL_MILLISECONDS,
+          () -> {
+            Either<PlatformError, PoolOperationStatus> status = perform(operation);
+            process.runAfter(CALL_MILLISECONDS, () -> result.complete(status));
+          });
+      return result;
+    };
+  }
+
+  private Either<PlatformError, PoolOperationStatus> perform(PoolOperation operation) {
+    SimulatedInstance instance = instances.get(operation.getInstance());
+    if (instance == null) {
+      return Either.left(new PlatformError.Refused("unknown instance " + operation.getInstance()));
+    }
+    String id = operation.getOperation() + "/" + operation.getAction();
+    PoolActionProgress progress = operations.get(id);
+    if (progress == null) {
+      progress = begin(operation, instance);
+      operations.put(id, progress);
+    }
+    boolean done = clock.nowMilliseconds() >= progress.doneAtMilliseconds();
+    if (operation.getAction() == PoolAction.POOL_DRAIN) {
+      done = done && plannedStopListener.isIdle(instance.name());
+    }
+    return Either.right(
+        PoolOperationStatus.newBuilder()
+            .setOperation(operation.getOperation())
+            .setDone(done)
+            .build());
+  }
+
+  private PoolActionProgress begin(PoolOperation operation, SimulatedInstance instance) {
+    journal.add(
+        new Observation.PoolActionBegan(
+            clock.nowMilliseconds(), instance.name(), operation.getAction()));
+    long now = clock.nowMilliseconds();
+    return switch (operation.getAction()) {
+      case POOL_REBOOT -> {
+        plannedStopListener.rebooted(instance.name());
+        yield new PoolActionProgress(now + REBOOT_MILLISECONDS);
+      }
+      case POOL_RETIRE -> {
+        plannedStopListener.rebooted(instance.name());
+        setState(instance.name(), InstanceState.INSTANCE_GONE);
+        yield new PoolActionProgress(now);
+      }
+      default -> new PoolActionProgress(now);
+    };
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/simulation/WorkerBehaviour.java
@@ -0,0 +1,9 @@
+package org.flamingochute.testsuite.simulation;
+
+/** How a worker runs its tasks. */
+public enum WorkerBehaviour {
+  /** Each task succeeds. */
+  HEALTHY,
+  /** Each task fails soon after its begin. */
+  FAILING
+}
