--- a/testsuite/src/test/java/org/flamingochute/testsuite/observation/Observation.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/observation/Observation.java
@@ -64,8 +64,7 @@
       implements Observation {}
 
   /** An operator was told the result of a patch. */
-  record PatchAnswered(long atMilliseconds, String name, AuditEntry entry)
-      implements Observation {}
+  record PatchAnswered(long atMilliseconds, String name, AuditEntry entry) implements Observation {}
 
   /** An operator's patch was refused without an audit entry, or its outcome is unknown. */
   record PatchFailed(long atMilliseconds, String name, String message) implements Observation {}
--- a/testsuite/src/test/java/org/flamingochute/testsuite/promise/AvailabilityChecker.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/promise/AvailabilityChecker.java
@@ -12,8 +12,8 @@
 import org.flamingochute.testsuite.observation.Observation;
 
 /**
- * Counts the instances of each pool whenever the platform is asked to drain one. Instances that were
- * lost so recently that nobody could know it still count as available.
+ * Counts the instances of each pool whenever the platform is asked to drain one. Instances that
+ * were lost so recently that nobody could know it still count as available.
  */
 public final class AvailabilityChecker implements PromiseChecker {
 
--- a/testsuite/src/test/java/org/flamingochute/testsuite/promise/LeavingEndpointChecker.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/promise/LeavingEndpointChecker.java
@@ -34,10 +34,20 @@
         }
         case Observation.RunnerBegan began ->
             judge(
-                began.atMilliseconds(), began.runner(), began.tag(), limit, leavingSince, violations);
+                began.atMilliseconds(),
+                began.runner(),
+                began.tag(),
+                limit,
+                leavingSince,
+                violations);
         case Observation.TaskBegan began ->
             judge(
-                began.atMilliseconds(), began.worker(), began.tag(), limit, leavingSince, violations);
+                began.atMilliseconds(),
+                began.worker(),
+                began.tag(),
+                limit,
+                leavingSince,
+                violations);
         default -> {}
       }
     }
--- a/testsuite/src/test/java/org/flamingochute/testsuite/promise/PlannedStopChecker.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/promise/PlannedStopChecker.java
@@ -8,8 +8,8 @@
 import org.flamingochute.testsuite.observation.Observation;
 
 /**
- * Looks for requests that a planned stop cut: at runners that were drained, and at entries that were
- * told to stop.
+ * Looks for requests that a planned stop cut: at runners that were drained, and at entries that
+ * were told to stop.
  */
 public final class PlannedStopChecker implements PromiseChecker {
 
--- a/testsuite/src/test/java/org/flamingochute/testsuite/scenario/CallPlayer.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/CallPlayer.java
@@ -28,8 +28,17 @@
 
   private static final Set<String> REQUEST_OPTIONS =
       Set.of(
-          "service", "entry", "key", "team", "run", "timeout", "idempotent", "once", "every",
-          "repeat", "retries");
+          "service",
+          "entry",
+          "key",
+          "team",
+          "run",
+          "timeout",
+          "idempotent",
+          "once",
+          "every",
+          "repeat",
+          "retries");
   private static final Set<String> JOB_OPTIONS =
       Set.of(
           "pool", "entry", "key", "team", "run", "idempotent", "urgent", "once", "every", "repeat");
--- a/testsuite/src/test/java/org/flamingochute/testsuite/scenario/FaultPlayer.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/FaultPlayer.java
@@ -105,7 +105,8 @@
   }
 
   private void markDisturbed(ScenarioCommand fault) {
-    if (fault.word(0).equals(NetworkConditions.LOG) || fault.word(1).equals(NetworkConditions.LOG)) {
+    if (fault.word(0).equals(NetworkConditions.LOG)
+        || fault.word(1).equals(NetworkConditions.LOG)) {
       disturbed.add(fault.word(0));
       disturbed.add(fault.word(1));
     }
--- a/testsuite/src/test/java/org/flamingochute/testsuite/scenario/PatchPlayer.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/PatchPlayer.java
@@ -36,9 +36,7 @@
 
   private void send(ScenarioCommand command) {
     SimulatedEntry entry =
-        world
-            .entry(command.text("entry", "a"))
-            .orElseThrow(() -> command.error("unknown entry"));
+        world.entry(command.text("entry", "a")).orElseThrow(() -> command.error("unknown entry"));
     FleetPatch.Builder patch =
         FleetPatch.newBuilder()
             .setPatchId(command.text("id", command.word(0)))
--- a/testsuite/src/test/java/org/flamingochute/testsuite/scenario/RandomScenario.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/RandomScenario.java
@@ -64,7 +64,8 @@
             + (10 + random.nextInt(200)));
     calls.add("2000 request open service=catalogue repeat=100 every=70 run=40 idempotent=true");
     calls.add(
-        "2100 job batch pool=print key=captains-secret once=true idempotent=false repeat=8 every=200"
+        "2100 job batch pool=print key=captains-secret once=true idempotent=false repeat=8"
+            + " every=200"
             + " run="
             + (200 + random.nextInt(2_000)));
     calls.add("2200 job night pool=print key=shops-secret repeat=6 every=300 run=700");
@@ -76,8 +77,16 @@
     int count = random.nextInt(4);
     for (int i = 0; i < count; i++) {
       int at = FIRST_FAULT_MILLISECONDS + 3_000 * i + random.nextInt(2_000);
-      calls.add(at + " patch change" + i + " entry=" + pick(ENTRIES) + " base=" + version + " "
-          + patchWord());
+      calls.add(
+          at
+              + " patch change"
+              + i
+              + " entry="
+              + pick(ENTRIES)
+              + " base="
+              + version
+              + " "
+              + patchWord());
       version++;
     }
   }
@@ -119,7 +128,8 @@
         faults.add(begin + " runner " + runner + " " + pick(BEHAVIOURS));
         faults.add(end + " runner " + runner + " healthy");
       }
-      case 10 -> faults.add(begin + " lose-instance " + pick(random.nextBoolean() ? RUNNERS : WORKERS));
+      case 10 ->
+          faults.add(begin + " lose-instance " + pick(random.nextBoolean() ? RUNNERS : WORKERS));
       default -> faults.add(begin + " list-lag " + (300 + random.nextInt(2_000)));
     }
   }
--- a/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioCommand.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioCommand.java
@@ -87,11 +87,6 @@
     return Long.parseLong(word);
   }
 
-  /** Returns an option or its default. */
-  public String text(String name, String defaultValue) {
-    return options.getOrDefault(name, defaultValue);
-  }
-
   /** Returns an option as a number, or its default. */
   public long number(String name, long defaultValue) {
     String value = options.get(name);
@@ -104,6 +99,11 @@
     return Long.parseLong(value);
   }
 
+  /** Returns an option or its default. */
+  public String text(String name, String defaultValue) {
+    return options.getOrDefault(name, defaultValue);
+  }
+
   /** Returns an option as a truth value, or its default. */
   public boolean flag(String name, boolean defaultValue) {
     return Boolean.parseBoolean(text(name, String.valueOf(defaultValue)));
--- a/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioRunner.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioRunner.java
@@ -96,8 +96,7 @@
     AgreedStateImage image = view.image();
     Map<String, String> pools = new TreeMap<>();
     view.instances()
-        .forEach(
-            instance -> pools.put(instance.getObserved().getInstance(), instance.getPool()));
+        .forEach(instance -> pools.put(instance.getObserved().getInstance(), instance.getPool()));
     Map<String, String> phases = new TreeMap<>();
     for (JobImage job : image.getJobsList()) {
       phases.put(job.getSubmitted().getJob(), job.getPhase().name());
--- a/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioWorld.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioWorld.java
@@ -34,6 +34,7 @@
 final class ScenarioWorld {
 
   private static final int LOG_FORMAT_VERSION = 1;
+  private static final long SAMPLE_MILLISECONDS = 100;
 
   final VirtualClock clock = new VirtualClock();
   final NetworkConditions network = new NetworkConditions();
@@ -60,10 +61,11 @@
   private void addInstances(ScenarioHeader header) {
     for (ScenarioHeader.InstanceText text : header.instances()) {
       InstanceKind kind =
-          text.kind().equals("runner") ? InstanceKind.INSTANCE_RUNNER : InstanceKind.INSTANCE_WORKER;
+          text.kind().equals("runner")
+              ? InstanceKind.INSTANCE_RUNNER
+              : InstanceKind.INSTANCE_WORKER;
       platform.add(
-          new SimulatedInstance(
-              text.name(), kind, text.pool(), text.dataCentre(), text.rack()));
+          new SimulatedInstance(text.name(), kind, text.pool(), text.dataCentre(), text.rack()));
     }
     int position = 0;
     for (String entry : header.entries()) {
@@ -137,15 +139,12 @@
     long version = node.agreed().description().getVersion();
     if (version != lastVersion) {
       journal.add(
-          new Observation.VersionSeen(
-              clock.nowMilliseconds(), name, incarnation.value(), version));
+          new Observation.VersionSeen(clock.nowMilliseconds(), name, incarnation.value(), version));
     }
     process.runAfter(
         SAMPLE_MILLISECONDS, () -> sampleVersion(name, incarnation, process, node, version));
   }
 
-  private static final long SAMPLE_MILLISECONDS = 100;
-
   /** Returns an entry's latest start. */
   Optional<SimulatedEntry> entry(String name) {
     return Optional.ofNullable(entries.get(name));
--- a/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedLog.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedLog.java
@@ -183,8 +183,7 @@
     }
 
     private long requestLatency() {
-      return delayMilliseconds
-          + network.latencyMilliseconds(process.name(), NetworkConditions.LOG);
+      return delayMilliseconds + network.latencyMilliseconds(process.name(), NetworkConditions.LOG);
     }
   }
 }
--- a/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedWorkers.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedWorkers.java
@@ -79,8 +79,7 @@
       }
       if (planned) {
         journal.add(
-            new Observation.WorkCutByPlannedStop(
-                clock.nowMilliseconds(), worker, task.work.tag()));
+            new Observation.WorkCutByPlannedStop(clock.nowMilliseconds(), worker, task.work.tag()));
       }
       finish(worker, task, TaskPhase.TASK_STOPPED);
     }
