Move the stand-in's log tests to offsets that begin at 0

Cause: the tests fixed the old first offset 1 and failed after the contract said 0. Change: each expected offset one lower; as strict as before.

--- a/standin/src/test/java/org/flamingochute/standin/InMemoryPlatformLogTest.java
+++ b/standin/src/test/java/org/flamingochute/standin/InMemoryPlatformLogTest.java
@@ -32,13 +32,13 @@
 
   @ParameterizedTest(name = "{0} retained, {1} appended, read {3} from {2} gives {4}")
   @CsvSource({
-    "10, 0, 1, 5, '', 1, 1",
-    "10, 3, 1, 5, '1 2 3', 1, 4",
-    "10, 3, 2, 1, '2', 1, 4",
-    "10, 3, 4, 5, '', 1, 4",
-    "10, 3, 9, 5, '', 1, 4",
-    "3, 5, 3, 9, '3 4 5', 3, 6",
-    "3, 5, 5, 9, '5', 3, 6",
+    "10, 0, 0, 5, '', 0, 0",
+    "10, 3, 0, 5, '0 1 2', 0, 3",
+    "10, 3, 1, 1, '1', 0, 3",
+    "10, 3, 3, 5, '', 0, 3",
+    "10, 3, 8, 5, '', 0, 3",
+    "3, 5, 2, 9, '2 3 4', 2, 5",
+    "3, 5, 4, 9, '4', 2, 5",
   })
   void readGivesRecordsInOrder(
       long retained,
@@ -59,13 +59,13 @@
   }
 
   @ParameterizedTest(name = "a read from {0} has expired")
-  @CsvSource({"0", "1", "2"})
+  @CsvSource({"-1", "0", "1"})
   void readOfExpiredOffsetNamesEarliest(long from) {
     InMemoryPlatformLog log = new InMemoryPlatformLog(timers, 3);
     log.append(List.of(record("a"), record("b"), record("c"), record("d"), record("e")));
     PlatformError error = log.read(from, 9).join().getLeft();
     assertThat(error, instanceOf(PlatformError.Expired.class));
-    assertThat(((PlatformError.Expired) error).earliestOffset(), equalTo(3L));
+    assertThat(((PlatformError.Expired) error).earliestOffset(), equalTo(2L));
   }
 
   static Stream<Arguments> faults() {
@@ -90,7 +90,7 @@
     Either<PlatformError, Long> result = log.append(List.of(record("a"))).join();
     assertThat(log.recordCount(), equalTo(stored));
     if (error == null) {
-      assertThat(result, equalTo(Either.right(1L)));
+      assertThat(result, equalTo(Either.right(0L)));
       return;
     }
     assertThat(result.getLeft(), instanceOf(error));
--- a/standin/src/test/java/org/flamingochute/standin/http/StandInProcessTest.java
+++ b/standin/src/test/java/org/flamingochute/standin/http/StandInProcessTest.java
@@ -107,14 +107,14 @@
     }
     String address = platform.address();
     byte[] appended = call("POST", address, "/log/append", batch.build().toByteArray()).body();
-    assertThat(AppendResponse.parseFrom(appended).getFirstOffset(), equalTo(1L));
-    HttpResponse<byte[]> kept = call("GET", address, "/log/records?from=4&maximum=9", new byte[0]);
+    assertThat(AppendResponse.parseFrom(appended).getFirstOffset(), equalTo(0L));
+    HttpResponse<byte[]> kept = call("GET", address, "/log/records?from=3&maximum=9", new byte[0]);
     ReadResponse read = ReadResponse.parseFrom(kept.body());
     assertThat(read.getRecords(0).getRecord().toStringUtf8(), equalTo("record4"));
     HttpResponse<byte[]> expired =
-        call("GET", address, "/log/records?from=1&maximum=9", new byte[0]);
+        call("GET", address, "/log/records?from=0&maximum=9", new byte[0]);
     assertThat(expired.statusCode(), equalTo(410));
-    assertThat(ReadResponse.parseFrom(expired.body()).getEarliestOffset(), equalTo(3L));
+    assertThat(ReadResponse.parseFrom(expired.body()).getEarliestOffset(), equalTo(2L));
   }
 
   @ParameterizedTest(name = "{0} {1} with body {2} is refused with {3} naming {4}")
