--- a/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioWorld.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioWorld.java
@@ -174,11 +174,6 @@
 
   private final class PlannedStops implements SimulatedPlatform.PlannedStopListener {
 
-    @Override
-    public boolean isIdle(String instance) {
-      return runners.isIdle(instance) && workers.isIdle(instance);
-    }
-
     @Override
     public void rebooted(String instance) {
       runners.cutAll(instance, true);
--- a/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedPlatform.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedPlatform.java
@@ -14,7 +14,6 @@
 import org.flamingochute.platform.PoolControl;
 import org.flamingochute.schema.InstanceListing;
 import org.flamingochute.schema.InstanceState;
-import org.flamingochute.schema.PoolAction;
 import org.flamingochute.schema.PoolOperation;
 import org.flamingochute.schema.PoolOperationStatus;
 import org.flamingochute.testsuite.observation.Observation;
@@ -38,19 +37,7 @@
   public interface PlannedStopListener {
 
     /** Has nothing running anywhere. */
-    PlannedStopListener NONE =
-        new PlannedStopListener() {
-          @Override
-          public boolean isIdle(String instance) {
-            return true;
-          }
-
-          @Override
-          public void rebooted(String instance) {}
-        };
-
-    /** Tells whether nothing runs on the instance. */
-    boolean isIdle(String instance);
+    PlannedStopListener NONE = instance -> {};
 
     /** The instance was rebooted or retired; whatever ran on it is cut. */
     void rebooted(String instance);
@@ -164,9 +151,6 @@
       operations.put(id, progress);
     }
     boolean done = clock.nowMilliseconds() >= progress.doneAtMilliseconds();
-    if (operation.getAction() == PoolAction.POOL_DRAIN) {
-      done = done && plannedStopListener.isIdle(instance.name());
-    }
     return Either.right(
         PoolOperationStatus.newBuilder()
             .setOperation(operation.getOperation())
@@ -180,6 +164,14 @@
             clock.nowMilliseconds(), instance.name(), operation.getAction()));
     long now = clock.nowMilliseconds();
     return switch (operation.getAction()) {
+      case POOL_DRAIN -> {
+        setState(instance.name(), InstanceState.INSTANCE_LEAVING);
+        yield new PoolActionProgress(now);
+      }
+      case POOL_RETURN -> {
+        setState(instance.name(), InstanceState.INSTANCE_LIVE);
+        yield new PoolActionProgress(now);
+      }
       case POOL_REBOOT -> {
         plannedStopListener.rebooted(instance.name());
         yield new PoolActionProgress(now + REBOOT_MILLISECONDS);
--- a/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedRunners.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedRunners.java
@@ -54,11 +54,6 @@
     behaviours.put(runner, behaviour);
   }
 
-  /** Tells whether a runner works on nothing. */
-  public boolean isIdle(String runner) {
-    return executions.getOrDefault(runner, Set.of()).isEmpty();
-  }
-
   /** Ends everything that runs on a runner; the planned flag marks it as cut by a planned stop. */
   public void cutAll(String runner, boolean planned) {
     for (Execution execution : Set.copyOf(executions.getOrDefault(runner, Set.of()))) {
--- a/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedWorkers.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedWorkers.java
@@ -65,12 +65,6 @@
     behaviours.put(worker, behaviour);
   }
 
-  /** Tells whether nothing runs on a worker. */
-  public boolean isIdle(String worker) {
-    return tasksOf(worker).values().stream()
-        .noneMatch(task -> task.phase == TaskPhase.TASK_RUNNING);
-  }
-
   /** Ends everything on a worker, as a reboot or loss does; it still knows what it began. */
   public void cutAll(String worker, boolean planned) {
     for (Task task : tasksOf(worker).values()) {
