Announce a graceful stop before work is refused; name a reused patch id

Cause: scenarios stop-entry, stop-all-but-one and stop-last-entry-of-data-centre lost 2 to 4 of 200 requests: the entry refused at once, while the balancer had not yet asked for its readiness. A reused patch id was reported as a patch that changes nothing. Change: WorkGate is unready for stop_notice_milliseconds before it refuses; PATCH_REPEATED. Ruled out: waiting in the balancer model, since a real balancer polls too.

--- a/engine/src/main/java/org/flamingochute/engine/DefaultEntryNode.java
+++ b/engine/src/main/java/org/flamingochute/engine/DefaultEntryNode.java
@@ -26,9 +26,7 @@
 
   private DefaultEntryNode(EntryNodeSettings settings) {
     this.parts = new EntryNodeParts(settings);
-    this.stop =
-        new GracefulStop(
-            parts, settings.timers(), settings.settings().getTiming().getStopMilliseconds());
+    this.stop = new GracefulStop(parts, settings.timers(), settings.settings().getTiming());
   }
 
   /** Creates a node that has not yet begun. */
@@ -53,7 +51,7 @@
 
   @Override
   public boolean isReady() {
-    return parts.gate.refusalOfNewWork().isEmpty();
+    return parts.gate.isReady();
   }
 
   @Override
--- a/engine/src/main/java/org/flamingochute/engine/GracefulStop.java
+++ b/engine/src/main/java/org/flamingochute/engine/GracefulStop.java
@@ -4,14 +4,17 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.flamingochute.platform.Timers;
+import org.flamingochute.schema.TimingSection;
 
 /**
  * Stops an entry without cutting work in flight.
  *
- * <p>New work is refused at once, as not run. Requests that were taken are still served. Tokens go
- * to peers as they come free. When nothing is left in flight and no token is held, or the time for
- * the stop is over, the entry leaves the members and ends its timers. The last member has no one to
- * give its tokens to, and does not wait for that.
+ * <p>The stop is announced first: for the notice time the entry reports that it is not ready and
+ * still takes the work that comes, so that the balancer sends callers elsewhere before one is
+ * refused. Then new work is refused as not run. Requests that were taken are still served. Tokens
+ * go to peers as they come free. When nothing is left in flight and no token is held, or the time
+ * for the stop is over, the entry leaves the members and ends its timers. The last member has no
+ * one to give its tokens to, and does not wait for that.
  */
 final class GracefulStop {
 
@@ -22,6 +25,7 @@
   private final EntryNodeParts parts;
   private final Timers timers;
   private final long limitMilliseconds;
+  private final Duration notice;
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
   private boolean begun;
   private long begunMilliseconds;
@@ -29,12 +33,13 @@
   /**
    * Creates the stop of a node.
    *
-   * @param limitMilliseconds longest wait for work in flight
+   * @param timing longest wait for work in flight, and the notice time
    */
-  GracefulStop(EntryNodeParts parts, Timers timers, long limitMilliseconds) {
+  GracefulStop(EntryNodeParts parts, Timers timers, TimingSection timing) {
     this.parts = parts;
     this.timers = timers;
-    this.limitMilliseconds = limitMilliseconds;
+    this.limitMilliseconds = timing.getStopMilliseconds();
+    this.notice = Duration.ofMillis(timing.getStopNoticeMilliseconds());
   }
 
   /** Begins the stop; a second call returns the same future. */
@@ -47,12 +52,18 @@
     }
     begunMilliseconds = timers.monotonicMilliseconds();
     logger.atInfo().log("event=stop_begun");
-    parts.gate.stopTakingWork();
+    parts.gate.announceStop();
     parts.maintenance.stop();
-    check();
+    timers.schedule(notice, this::stopTakingWork);
     return stopped;
   }
 
+  private void stopTakingWork() {
+    logger.atInfo().log("event=stop_taking_no_work");
+    parts.gate.stopTakingWork();
+    check();
+  }
+
   private void check() {
     boolean workDone = parts.requests.isIdle() && parts.placers.isIdle();
     boolean tokensGone = parts.broker.handOver();
--- a/engine/src/main/java/org/flamingochute/engine/operator/OperatorService.java
+++ b/engine/src/main/java/org/flamingochute/engine/operator/OperatorService.java
@@ -143,7 +143,8 @@
     return switch (outcome) {
       case AppendOutcome.Folded(long offset, FoldResult.Refused(ErrorReport report)) -> report;
       case AppendOutcome.Folded(long offset, FoldResult.Unreadable(ErrorReport report)) -> report;
-      case AppendOutcome.Folded folded -> ErrorReport.of(ErrorCode.PATCH_EMPTY, patch.getPatchId());
+      case AppendOutcome.Folded folded ->
+          ErrorReport.of(ErrorCode.PATCH_REPEATED, patch.getPatchId());
       case AppendOutcome.NotAppended(String detail) ->
           ErrorReport.of(ErrorCode.LOG_UNAVAILABLE, detail);
       case AppendOutcome.Unknown(String detail) ->
--- a/engine/src/main/java/org/flamingochute/engine/request/WorkGate.java
+++ b/engine/src/main/java/org/flamingochute/engine/request/WorkGate.java
@@ -18,6 +18,7 @@
   private final AgreedView agreed;
   private final FreshnessMonitor freshness;
   private final Incarnation self;
+  private volatile boolean announced;
   private volatile boolean stopping;
 
   /** Creates a gate for one incarnation. */
@@ -27,6 +28,11 @@
     this.self = self;
   }
 
+  /** Announces the stop: the entry is no longer ready, but still takes the work that comes. */
+  public void announceStop() {
+    announced = true;
+  }
+
   /** Refuses new work from now on; work that was taken before may still be started. */
   public void stopTakingWork() {
     stopping = true;
@@ -34,7 +40,12 @@
 
   /** Tells whether this entry has begun to stop. */
   public boolean isStopping() {
-    return stopping;
+    return announced || stopping;
+  }
+
+  /** Tells whether callers should be sent to this entry. */
+  public boolean isReady() {
+    return !isStopping() && refusalOfNewWork().isEmpty();
   }
 
   /** Returns why new work is refused now, or nothing. */
