Add the operators' command line

Cause: operators steer the fleet by patches and need to see what is in force, what would change, who changed what, and what became of a patch whose reply was lost. A lost reply is settled by the patch id in the history of any entry; a conflict is checked there too, since a repeated patch meets its own version.

Ruled out: sending a patch again after a lost reply (the second copy is refused as stale and tells nothing about the first).

--- /dev/null
+++ b/control/src/main/java/org/flamingochute/control/ControlMain.java
@@ -0,0 +1,211 @@
+package org.flamingochute.control;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.flamingochute.platform.http.EventLoopGroup;
+import org.flamingochute.platform.http.ExchangeClient;
+import org.flamingochute.platform.http.ExchangeLimits;
+import org.flamingochute.platform.http.ExchangeListener;
+import org.flamingochute.platform.http.NumericAddress;
+
+/** The program {@code flamingochute-control}. */
+public final class ControlMain {
+
+  /** Environment variable with the operator's key. */
+  public static final String KEY_VARIABLE = "FLAMINGOCHUTE_OPERATOR_KEY";
+
+  private static final int IDENTIFIER_BYTES = 24;
+  private static final int MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
+  private static final Duration SETTLING_INTERVAL = Duration.ofMillis(500);
+
+  private static final String USAGE =
+      """
+      usage: flamingochute-control COMMAND [options]
+
+        validate FILE         check a description file; asks no entry
+        diff FILE             show what would turn the description in force into FILE
+        apply FILE --base N   patch version N, which must be in force, into FILE
+        show                  show the description in force
+        history               show the audit trail, also refused patches
+        status                show entries, pools, teams, planned stops and waves
+        grant TEAM            make a key for a team and print it once
+        withdraw KEY-ID       withdraw a key
+
+        --entry IP:PORT       an entry; may be repeated, the next is tried when one is down
+        --operator NAME       the operator's name
+        --key-file FILE       file with the operator's key; or else the environment
+                              variable FLAMINGOCHUTE_OPERATOR_KEY
+        --reason TEXT         reason for the audit trail
+        --key-id ID           id of a key to grant; made up when absent
+        --patch ID            show only this patch in the history
+        --json                output for programs
+        --help                show this text
+
+      exit codes: 0 done, 1 refused, 2 wrong command line, 3 invalid description,
+                  4 stale base, 5 not allowed, 6 no entry reachable (nothing changed),
+                  7 unknown outcome (look for the patch in the history)
+      """;
+
+  private static final Options OPTIONS =
+      new Options()
+          .addOption(Option.builder().longOpt("entry").hasArg().get())
+          .addOption(Option.builder().longOpt("operator").hasArg().get())
+          .addOption(Option.builder().longOpt("key-file").hasArg().get())
+          .addOption(Option.builder().longOpt("base").hasArg().get())
+          .addOption(Option.builder().longOpt("reason").hasArg().get())
+          .addOption(Option.builder().longOpt("key-id").hasArg().get())
+          .addOption(Option.builder().longOpt("patch").hasArg().get())
+          .addOption(Option.builder().longOpt("json").get())
+          .addOption(Option.builder().longOpt("help").get());
+
+  private static final SecureRandom RANDOM = new SecureRandom();
+
+  private final CommandCatalogue catalogue = new CommandCatalogue();
+  private final Map<String, String> environment;
+
+  private ControlMain(Map<String, String> environment) {
+    this.environment = environment;
+  }
+
+  /** Returns the options for the parser. */
+  static Options options() {
+    return OPTIONS;
+  }
+
+  /** Runs the program. */
+  public static void main(String[] arguments) {
+    System.exit(run(arguments, System.getenv(), System.out, System.err));
+  }
+
+  /**
+   * Runs the program.
+   *
+   * @param environment environment variables
+   * @return the exit code
+   */
+  public static int run(
+      String[] arguments, Map<String, String> environment, PrintStream output, PrintStream errors) {
+    Either<ControlError, String> result = new ControlMain(environment).execute(arguments);
+    if (result.isRight()) {
+      output.print(result.get());
+      output.flush();
+      return ExitCode.OK.number();
+    }
+    result.getLeft().lines().forEach(errors::println);
+    return result.getLeft().exitCode().number();
+  }
+
+  private Either<ControlError, String> execute(String[] arguments) {
+    CommandLine line;
+    try {
+      line = new DefaultParser().parse(OPTIONS, arguments);
+    } catch (ParseException e) {
+      return Either.left(new ControlError.Usage(e.getMessage()));
+    }
+    if (line.hasOption("help")) {
+      return Either.right(USAGE);
+    }
+    if (line.getArgList().isEmpty()) {
+      return Either.left(new ControlError.Usage("a command is needed: " + catalogue.names()));
+    }
+    String name = line.getArgList().get(0);
+    Optional<Command> command = catalogue.find(name);
+    if (command.isEmpty()) {
+      return Either.left(
+          new ControlError.Usage(
+              "unknown command \"" + name + "\", known are " + catalogue.names()));
+    }
+    return catalogue.needsEntry(name)
+        ? runRemote(line, command.get())
+        : runLocal(line, command.get());
+  }
+
+  private static Either<ControlError, String> runLocal(CommandLine line, Command command) {
+    OperatorClient nobody = new EntryOperatorClient(List.of(), SETTLING_INTERVAL);
+    return command.run(new CommandContext(line, nobody, ControlMain::randomIdentifier));
+  }
+
+  private Either<ControlError, String> runRemote(CommandLine line, Command command) {
+    Either<ControlError, List<NumericAddress>> addresses = addressesOf(line);
+    if (addresses.isLeft()) {
+      return Either.left(addresses.getLeft());
+    }
+    if (!line.hasOption("operator")) {
+      return Either.left(new ControlError.Usage("--operator is needed"));
+    }
+    Either<ControlError, String> key = keyOf(line);
+    if (key.isLeft()) {
+      return Either.left(key.getLeft());
+    }
+    ExchangeLimits limits =
+        ExchangeLimits.builder().maximumAnswerBytes(MAXIMUM_ANSWER_BYTES).build();
+    try (EventLoopGroup group = EventLoopGroup.start("control", 1);
+        ExchangeClient client = new ExchangeClient(group, limits, ExchangeListener.NONE)) {
+      List<EntryConnection> entries = new ArrayList<>();
+      for (NumericAddress address : addresses.get()) {
+        entries.add(
+            new HttpEntryConnection(client, address, line.getOptionValue("operator"), key.get()));
+      }
+      OperatorClient operatorClient = new EntryOperatorClient(entries, SETTLING_INTERVAL);
+      return command.run(new CommandContext(line, operatorClient, ControlMain::randomIdentifier));
+    }
+  }
+
+  private static Either<ControlError, List<NumericAddress>> addressesOf(CommandLine line) {
+    String[] values = line.getOptionValues("entry");
+    if (values == null) {
+      return Either.left(new ControlError.Usage("--entry is needed"));
+    }
+    List<NumericAddress> addresses = new ArrayList<>();
+    for (String value : values) {
+      Optional<NumericAddress> address = NumericAddress.parse(value);
+      if (address.isEmpty()) {
+        return Either.left(
+            new ControlError.Usage(
+                "--entry: value \"" + value + "\" is not an IP address and port"));
+      }
+      addresses.add(address.get());
+    }
+    return Either.right(addresses);
+  }
+
+  private Either<ControlError, String> keyOf(CommandLine line) {
+    String file = line.getOptionValue("key-file");
+    if (file != null) {
+      try {
+        return Either.right(Files.readString(Path.of(file)).strip());
+      } catch (IOException e) {
+        return Either.left(new ControlError.Usage("--key-file: " + file + ": " + e));
+      }
+    }
+    String key = environment.get(KEY_VARIABLE);
+    if (key == null || key.isEmpty()) {
+      return Either.left(
+          new ControlError.Usage(
+              "--key-file or the environment variable " + KEY_VARIABLE + " is needed"));
+    }
+    return Either.right(key);
+  }
+
+  /** Returns 192 random bits as text. */
+  private static String randomIdentifier() {
+    byte[] bytes = new byte[IDENTIFIER_BYTES];
+    RANDOM.nextBytes(bytes);
+    return HexFormat.of().formatHex(bytes);
+  }
+}
--- a/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
+++ b/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
@@ -81,6 +81,12 @@
   FILE_NOT_WRITABLE(1405, "%s: cannot be written: %s"),
   COMMAND_LINE(1406, "command line: %s"),
   REPORT_MALFORMED(1407, "%s: the report cannot be read: %s"),
+  CONTROL_STALE_BASE(1408, "the patch is against version %s, but version %s is in force"),
+  CONTROL_UNREACHABLE(1409, "no answer from entry %s"),
+  CONTROL_UNKNOWN_OUTCOME(1410, "patch %s may or may not have taken effect: %s"),
+  CONTROL_KEY_ID_UNKNOWN(1411, "key \"%s\" is not granted"),
+  CONTROL_KEY_ID_TAKEN(1412, "key \"%s\" is granted already, to team %s"),
+  CONTROL_TEAM_UNKNOWN(1413, "team \"%s\" is not part of the description in force"),
   ;
 
   private final int number;
