--- /dev/null
+++ b/entry/src/main/java/org/flamingochute/entry/EntryCommandLine.java
@@ -0,0 +1,96 @@
+package org.flamingochute.entry;
+
+import io.vavr.control.Either;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.flamingochute.decision.error.ErrorCode;
+import org.flamingochute.decision.error.ErrorReport;
+
+/** What the command line asks for. */
+sealed interface EntryCommandLine {
+
+  /** Print the help. */
+  record Help() implements EntryCommandLine {}
+
+  /** Print the version. */
+  record Version() implements EntryCommandLine {}
+
+  /**
+   * Check the settings and end.
+   *
+   * @param settingsFile name of the settings file
+   */
+  record Check(String settingsFile) implements EntryCommandLine {}
+
+  /**
+   * Run an entry.
+   *
+   * @param settingsFile name of the settings file
+   */
+  record Run(String settingsFile) implements EntryCommandLine {}
+
+  /** Parses the arguments. */
+  static Either<ErrorReport, EntryCommandLine> parse(String[] arguments) {
+    CommandLine line;
+    try {
+      line =
+          DefaultParser.builder().setAllowPartialMatching(false).get().parse(options(), arguments);
+    } catch (ParseException e) {
+      return Either.left(ErrorReport.of(ErrorCode.COMMAND_LINE, e.getMessage()));
+    }
+    if (line.hasOption("help")) {
+      return Either.right(new Help());
+    }
+    if (line.hasOption("version")) {
+      return Either.right(new Version());
+    }
+    if (!line.getArgList().isEmpty()) {
+      String problem = "unexpected argument \"" + line.getArgList().getFirst() + "\"";
+      return Either.left(ErrorReport.of(ErrorCode.COMMAND_LINE, problem));
+    }
+    String file = line.getOptionValue("settings");
+    if (file == null) {
+      return Either.left(ErrorReport.of(ErrorCode.COMMAND_LINE, "--settings is missing"));
+    }
+    return Either.right(line.hasOption("check") ? new Check(file) : new Run(file));
+  }
+
+  private static Options options() {
+    return new Options()
+        .addOption(
+            Option.builder("s")
+                .longOpt("settings")
+                .hasArg()
+                .argName("FILE")
+                .desc("settings file in INI form (required)")
+                .get())
+        .addOption(
+            Option.builder("c")
+                .longOpt("check")
+                .desc("check the settings and exit with 0 when they are valid, else with 2")
+                .get())
+        .addOption(Option.builder("h").longOpt("help").desc("print this help and exit").get())
+        .addOption(Option.builder("v").longOpt("version").desc("print the version and exit").get());
+  }
+
+  /** Returns the help text. */
+  static String help() {
+    StringWriter text = new StringWriter();
+    PrintWriter writer = new PrintWriter(text);
+    writer.println("usage: flamingochute-entry --settings FILE [--check]");
+    writer.println("Runs one entry: takes requests, jobs and patches and acts with its peers.");
+    for (Option option : options().getOptions()) {
+      String name = "-" + option.getOpt() + ", --" + option.getLongOpt();
+      String shown = option.hasArg() ? name + " " + option.getArgName() : name;
+      writer.printf("  %-22s %s%n", shown, option.getDescription());
+    }
+    writer.println("Exit codes: 0 stopped as asked, 1 cannot start, 2 command line or settings.");
+    writer.flush();
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
@@ -0,0 +1,285 @@
+package org.flamingochute.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HexFormat;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import org.flamingochute.decision.error.ErrorCode;
+import org.flamingochute.decision.error.ErrorReport;
+import org.flamingochute.decision.fleet.FleetDescriptionFormatter;
+import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.engine.EntryNode;
+import org.flamingochute.engine.EntryNodeSettings;
+import org.flamingochute.entry.http.HttpFront;
+import org.flamingochute.entry.http.NodeReference;
+import org.flamingochute.entry.log.LogText;
+import org.flamingochute.entry.metrics.ExchangeMetrics;
+import org.flamingochute.entry.metrics.ProcessMetrics;
+import org.flamingochute.entry.peer.NettyPeerTransport;
+import org.flamingochute.entry.peer.PeerTransportSettings;
+import org.flamingochute.platform.http.EventLoopGroup;
+import org.flamingochute.platform.http.ExchangeClient;
+import org.flamingochute.platform.http.ExchangeLimits;
+import org.flamingochute.platform.http.HttpEndpointClient;
+import org.flamingochute.platform.http.HttpInstanceList;
+import org.flamingochute.platform.http.HttpPlatformLog;
+import org.flamingochute.platform.http.HttpPoolControl;
+import org.flamingochute.platform.http.HttpWorkerControl;
+import org.flamingochute.platform.http.LogLimits;
+
+/**
+ * One entry with everything that it runs on: event loops, clients, peers, timers and the node.
+ *
+ * <p>The ports are bound first, since the node tells others its addresses; until the node exists
+ * every request is refused as not run.
+ */
+public final class EntryProcess {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Connections of one entry to one runner: nine entries stay below the runner's 64. */
+  private static final int ENDPOINT_CONNECTIONS = 7;
+
+  private static final int ENDPOINT_WAITING = 16;
+  private static final int PLATFORM_CONNECTIONS = 8;
+  private static final int PLATFORM_ANSWER_BYTES = 8 << 20;
+
+  /** Limit on a header line that ActiveJ reads once, when its HTTP classes are loaded. */
+  private static final String HEADER_LINE_PROPERTY =
+      "io.activej.http.HttpMessage.maxHeaderLineSize";
+
+  private static final int INCARNATION_BYTES = 8;
+
+  private final ResolvedSettings resolved;
+  private final Incarnation incarnation;
+  private final MetricRegistry registry = new MetricRegistry();
+  private final ProcessMetrics processMetrics = new ProcessMetrics(registry);
+  private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+  private final NodeReference node = new NodeReference();
+  private String httpAddress = "";
+  private String peerAddress = "";
+  private boolean stopped;
+
+  private EntryProcess(ResolvedSettings resolved) {
+    this.resolved = resolved;
+    this.incarnation = newIncarnation(resolved.settings().getEntry().getInstance());
+  }
+
+  private static Incarnation newIncarnation(String instance) {
+    byte[] random = new byte[INCARNATION_BYTES];
+    new SecureRandom().nextBytes(random);
+    return new Incarnation(instance + "-" + HexFormat.of().formatHex(random));
+  }
+
+  /**
+   * Starts a process, or returns why it cannot start; then nothing is left open.
+   *
+   * @param factory creates the node
+   */
+  static Either<ErrorReport, EntryProcess> start(
+      ResolvedSettings resolved, EntryNodeFactory factory) {
+    EntryProcess process = new EntryProcess(resolved);
+    Either<ErrorReport, Void> result;
+    try {
+      result = process.open(factory);
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("event=start_failed");
+      result = Either.left(ErrorReport.of(ErrorCode.ENTRY_FAILED, e.toString()));
+    }
+    if (result.isLeft()) {
+      process.closeResources();
+      return Either.left(result.getLeft());
+    }
+    return Either.right(process);
+  }
+
+  private Either<ErrorReport, Void> open(EntryNodeFactory factory) {
+    System.setProperty(
+        HEADER_LINE_PROPERTY,
+        Integer.toString(resolved.settings().getLimit().getMaximumHeaderBytes()));
+    EventLoopGroup loops =
+        EventLoopGroup.start(
+            "http",
+            resolved.settings().getEntry().getThreads(),
+            (error, context) -> uncaught("http", error));
+    resources.push(loops);
+    Either<ErrorReport, NettyPeerTransport> peers = openPeers();
+    if (peers.isLeft()) {
+      return Either.left(peers.getLeft());
+    }
+    Either<ErrorReport, Void> front = openFront(loops);
+    if (front.isLeft()) {
+      return front;
+    }
+    EntryNode created = factory.create(nodeSettings(loops, peers.get()));
+    node.set(created);
+    created.start();
+    String portFile = resolved.settings().getEntry().getPortFile();
+    logger.atInfo().log(
+        "event=entry_started incarnation=%s http=%s peer=%s",
+        incarnation, httpAddress, peerAddress);
+    return PortFile.write(portFile, httpAddress, peerAddress);
+  }
+
+  private Either<ErrorReport, NettyPeerTransport> openPeers() {
+    NettyPeerTransport transport =
+        new NettyPeerTransport(
+            PeerTransportSettings.builder()
+                .ownName(incarnation.value())
+                .address(resolved.peer().socketAddress())
+                .secret(resolved.secret())
+                .maximumFrameBytes(resolved.settings().getPeer().getMaximumFrameBytes())
+                .tls(resolved.tls())
+                .registry(registry)
+                .build());
+    resources.push(transport);
+    try {
+      peerAddress = textOf(transport.listen());
+      return Either.right(transport);
+    } catch (IOException e) {
+      return Either.left(unusable("peer", "address", resolved.peer().text(), e));
+    }
+  }
+
+  private Either<ErrorReport, Void> openFront(EventLoopGroup loops) {
+    HttpFront front =
+        HttpFront.builder()
+            .loops(loops)
+            .address(resolved.http().socketAddress())
+            .limits(resolved.settings().getLimit())
+            .node(node)
+            .registry(registry)
+            .formatter(description -> new FleetDescriptionFormatter().format(description))
+            .build();
+    try {
+      httpAddress = textOf(front.listen());
+      resources.push(front::close);
+      return Either.right(null);
+    } catch (IOException e) {
+      return Either.left(unusable("entry", "http_address", resolved.http().text(), e));
+    }
+  }
+
+  private static ErrorReport unusable(String section, String key, String address, Exception e) {
+    return ErrorReport.of(ErrorCode.ADDRESS_UNUSABLE, section, key, address, e.getMessage());
+  }
+
+  private static String textOf(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  private EntryNodeSettings nodeSettings(EventLoopGroup loops, NettyPeerTransport peers) {
+    Duration timeout =
+        Duration.ofMillis(resolved.settings().getPlatform().getTimeoutMilliseconds());
+    ExchangeClient platform =
+        new ExchangeClient(loops, platformLimits(timeout), metrics("platform"));
+    resources.push(platform);
+    ExchangeClient endpoints = new ExchangeClient(loops, endpointLimits(), metrics("endpoint"));
+    resources.push(endpoints);
+    RealTimers timers = new RealTimers(processMetrics.uncaughtExceptions());
+    resources.push(timers);
+    return new EntryNodeSettings(
+        resolved.settings(),
+        incarnation,
+        httpAddress,
+        peerAddress,
+        new HttpPlatformLog(platform, resolved.log(), timeout, LogLimits.defaults()),
+        new HttpInstanceList(platform, resolved.list(), timeout),
+        new HttpPoolControl(platform, resolved.pool(), timeout),
+        new HttpWorkerControl(platform, timeout),
+        new HttpEndpointClient(endpoints),
+        peers,
+        timers,
+        registry);
+  }
+
+  private ExchangeMetrics metrics(String prefix) {
+    return new ExchangeMetrics(registry, prefix);
+  }
+
+  private static ExchangeLimits platformLimits(Duration timeout) {
+    return ExchangeLimits.builder()
+        .maximumConnections(PLATFORM_CONNECTIONS)
+        .maximumAnswerBytes(PLATFORM_ANSWER_BYTES)
+        .connectTimeout(timeout)
+        .build();
+  }
+
+  private ExchangeLimits endpointLimits() {
+    return ExchangeLimits.builder()
+        .maximumConnections(ENDPOINT_CONNECTIONS)
+        .maximumWaiting(ENDPOINT_WAITING)
+        .maximumAnswerBytes(resolved.settings().getLimit().getMaximumBodyBytes())
+        .build();
+  }
+
+  /** Counts and logs an exception that no one caught; the process goes on. */
+  void uncaught(String thread, Throwable error) {
+    processMetrics.uncaughtExceptions().inc();
+    logger.atSevere().withCause(error).log("event=uncaught_exception thread=%s", thread);
+  }
+
+  /** Returns the address for callers and operators. */
+  public String httpAddress() {
+    return httpAddress;
+  }
+
+  /** Returns the address for other entries. */
+  public String peerAddress() {
+    return peerAddress;
+  }
+
+  /** Returns the metrics. */
+  public MetricRegistry registry() {
+    return registry;
+  }
+
+  /**
+   * Stops gracefully: the node finishes its work, within the time that the settings give, then
+   * everything is closed. A second call does nothing.
+   */
+  public synchronized void stop() {
+    if (stopped) {
+      return;
+    }
+    stopped = true;
+    logger.atInfo().log("event=entry_stopping incarnation=%s", incarnation);
+    boolean whole = stopNode();
+    closeResources();
+    logger.atInfo().log("event=entry_stopped incarnation=%s work_finished=%s", incarnation, whole);
+  }
+
+  private boolean stopNode() {
+    long milliseconds = resolved.settings().getTiming().getStopMilliseconds();
+    try {
+      node.get()
+          .ifPresent(
+              running -> running.stop().orTimeout(milliseconds, TimeUnit.MILLISECONDS).join());
+      return true;
+    } catch (CompletionException e) {
+      logger.atWarning().log(
+          "event=stop_incomplete message=%s", LogText.quoted(String.valueOf(e.getCause())));
+      return false;
+    } catch (RuntimeException e) {
+      uncaught("stop", e);
+      return false;
+    }
+  }
+
+  private void closeResources() {
+    while (!resources.isEmpty()) {
+      try {
+        resources.pop().close();
+      } catch (Exception e) {
+        uncaught("stop", e);
+      }
+    }
+  }
+}
--- a/entry/src/main/java/org/flamingochute/entry/log/KeyValueLogging.java
+++ b/entry/src/main/java/org/flamingochute/entry/log/KeyValueLogging.java
@@ -20,5 +20,6 @@
     handler.setFormatter(new KeyValueFormatter());
     root.addHandler(handler);
     root.setLevel(Level.INFO);
+    StayingLogManager.stay();
   }
 }
--- /dev/null
+++ b/entry/src/main/java/org/flamingochute/entry/metrics/ExchangeMetrics.java
@@ -0,0 +1,37 @@
+package org.flamingochute.entry.metrics;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.Locale;
+import org.flamingochute.platform.http.ExchangeListener;
+import org.flamingochute.platform.http.ExchangeResult;
+
+/** Counts how the requests of this process to others end. */
+public final class ExchangeMetrics implements ExchangeListener {
+  private final MetricRegistry registry;
+  private final String prefix;
+
+  /**
+   * Creates a listener.
+   *
+   * @param registry where to count
+   * @param prefix first part of the metrics' names, for example {@code endpoint}
+   */
+  public ExchangeMetrics(MetricRegistry registry, String prefix) {
+    this.registry = registry;
+    this.prefix = prefix;
+  }
+
+  @Override
+  public void exchangeEnded(String address, ExchangeResult result) {
+    registry.counter(prefix + "." + nameOf(result)).inc();
+  }
+
+  private static String nameOf(ExchangeResult result) {
+    return switch (result) {
+      case ExchangeResult.Answered answered -> "answered";
+      case ExchangeResult.NotRun notRun -> notRun.busy() ? "not_run_busy" : "not_run";
+      case ExchangeResult.Unknown unknown ->
+          "unknown_" + unknown.cause().name().toLowerCase(Locale.ROOT);
+    };
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/flamingochute/entry/peer/IncomingPeerHandler.java
@@ -0,0 +1,68 @@
+package org.flamingochute.entry.peer;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.ChannelHandlerContext;
+import org.flamingochute.platform.PeerTransport.PeerFrameListener;
+import org.flamingochute.schema.PeerFrame;
+
+/** The accepting end of a connection: checks the peer, then hands its frames to the listener. */
+final class IncomingPeerHandler extends PeerHandler {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final PeerFrameDecoder decoder;
+  private final int maximumFrameBytes;
+  private final PeerFrameListener listener;
+  private HandshakeTranscript transcript;
+
+  IncomingPeerHandler(
+      PeerTransportSettings settings, PeerFrameDecoder decoder, PeerFrameListener listener) {
+    super(settings.ownName(), settings.secret(), settings.metrics());
+    this.decoder = decoder;
+    this.maximumFrameBytes = settings.maximumFrameBytes();
+    this.listener = listener;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
+    if (isEstablished()) {
+      receive(frame);
+    } else if (transcript == null) {
+      receiveHello(context, frame);
+    } else {
+      receiveProof(context, frame);
+    }
+  }
+
+  private void receiveHello(ChannelHandlerContext context, PeerFrame frame) {
+    if (!checkHello(context, frame)) {
+      return;
+    }
+    byte[] clientNonce = frame.getHello().getNonce().toByteArray();
+    transcript = new HandshakeTranscript(frame.getSender(), ownName(), clientNonce, nonce());
+    context.writeAndFlush(helloFrame());
+  }
+
+  private void receiveProof(ChannelHandlerContext context, PeerFrame frame) {
+    if (!checkProof(context, frame, transcript.clientProof(secret()))) {
+      return;
+    }
+    establish();
+    decoder.open(new FrameSeal(transcript.sessionKey(secret())), maximumFrameBytes);
+    context.writeAndFlush(proofFrame(transcript.serverProof(secret())));
+  }
+
+  private void receive(PeerFrame frame) {
+    boolean forMe = frame.getReceiver().isEmpty() || frame.getReceiver().equals(ownName());
+    if (!forMe || !frame.getSender().equals(transcript.clientName())) {
+      metrics().misdirected().inc();
+      return;
+    }
+    metrics().received().inc();
+    try {
+      listener.frameReceived(frame);
+    } catch (RuntimeException e) {
+      metrics().listenerFailures().inc();
+      logger.atSevere().withCause(e).log("event=peer_frame_failed kind=%s", frame.getBodyCase());
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/flamingochute/entry/peer/NettyPeerTransport.java
@@ -0,0 +1,203 @@
+package org.flamingochute.entry.peer;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.flamingochute.platform.PeerTransport;
+import org.flamingochute.platform.http.NumericAddress;
+import org.flamingochute.schema.PeerFrame;
+
+/**
+ * Frames between entries over TCP by Netty's NIO transport.
+ *
+ * <p>Each entry opens one connection to each peer that it sends to and writes only to connections
+ * that it opened. Without a secret only loopback addresses are used.
+ */
+public final class NettyPeerTransport implements PeerTransport, AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private static final int THREADS = 2;
+  private static final int CONNECT_MILLISECONDS = 1000;
+  private static final int IDLE_SECONDS = 60;
+  private static final int MAXIMUM_INCOMING = 256;
+  private static final long UNUSED_MILLISECONDS = 120_000;
+  private static final long CLOSE_MILLISECONDS = 2000;
+
+  private final PeerTransportSettings settings;
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+  private final Map<String, PeerConnection> connections = new ConcurrentHashMap<>();
+  private final AtomicInteger incoming = new AtomicInteger();
+  private volatile PeerFrameListener listener = frame -> {};
+  private volatile boolean closed;
+
+  /** Creates a transport that does not listen yet. */
+  public NettyPeerTransport(PeerTransportSettings settings) {
+    this.settings = settings;
+  }
+
+  /**
+   * Begins to listen.
+   *
+   * @return the bound address
+   * @throws IOException when the address cannot be bound
+   */
+  public InetSocketAddress listen() throws IOException {
+    ServerBootstrap server =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    accept(channel);
+                  }
+                });
+    try {
+      Channel bound = server.bind(settings.address()).syncUninterruptibly().channel();
+      return (InetSocketAddress) bound.localAddress();
+    } catch (RuntimeException e) {
+      throw new IOException(e.getMessage(), e);
+    } catch (Exception e) {
+      // Netty rethrows checked exceptions without declaring them.
+      throw new IOException(e.getMessage(), e);
+    }
+  }
+
+  private void accept(SocketChannel channel) {
+    int count = incoming.incrementAndGet();
+    channel.closeFuture().addListener(done -> incoming.decrementAndGet());
+    if (count > MAXIMUM_INCOMING) {
+      settings.metrics().refusedConnections().inc();
+      channel.close();
+      return;
+    }
+    PeerFrameDecoder decoder = new PeerFrameDecoder();
+    addTls(channel, settings.serverTls());
+    channel
+        .pipeline()
+        .addLast(new IdleStateHandler(IDLE_SECONDS, 0, 0))
+        .addLast(decoder)
+        .addLast(new PeerFrameEncoder())
+        .addLast(
+            new IncomingPeerHandler(settings, decoder, frame -> listener.frameReceived(frame)));
+  }
+
+  private static void addTls(SocketChannel channel, Optional<SslContext> context) {
+    context.ifPresent(tls -> channel.pipeline().addLast(tls.newHandler(channel.alloc())));
+  }
+
+  private Bootstrap bootstrap(EventLoop loop, PeerConnection connection) {
+    return new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLISECONDS)
+        .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                PeerFrameEncoder encoder = new PeerFrameEncoder();
+                addTls(channel, settings.clientTls());
+                channel
+                    .pipeline()
+                    .addLast(new PeerFrameDecoder())
+                    .addLast(encoder)
+                    .addLast(new OutgoingPeerHandler(settings, encoder, connection));
+              }
+            });
+  }
+
+  @Override
+  public void send(String peerAddress, PeerFrame frame) {
+    if (closed) {
+      return;
+    }
+    if (frame.getSerializedSize() > settings.maximumFrameBytes()) {
+      drop(peerAddress, "the frame is over the size limit");
+      return;
+    }
+    PeerConnection connection = connections.get(peerAddress);
+    if (connection == null) {
+      Optional<NumericAddress> address = NumericAddress.parse(peerAddress);
+      if (address.isEmpty() || !isAllowed(address.get().socketAddress())) {
+        drop(peerAddress, "the address is not allowed");
+        return;
+      }
+      connection = open(peerAddress, address.get().socketAddress());
+    }
+    connection.send(frame);
+  }
+
+  private void drop(String peerAddress, String reason) {
+    settings.metrics().dropped().inc();
+    logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+        "event=peer_frame_dropped peer=%s reason=\"%s\"", peerAddress, reason);
+  }
+
+  private boolean isAllowed(InetSocketAddress address) {
+    return settings.isProtected() || address.getAddress().isLoopbackAddress();
+  }
+
+  private PeerConnection open(String peerAddress, InetSocketAddress address) {
+    closeUnused();
+    return connections.computeIfAbsent(
+        peerAddress,
+        key -> {
+          EventLoop loop = (EventLoop) group.next();
+          return new PeerConnection(address, loop, owner -> bootstrap(loop, owner), settings);
+        });
+  }
+
+  private void closeUnused() {
+    connections
+        .values()
+        .removeIf(
+            connection -> {
+              boolean unused = connection.unusedMilliseconds() > UNUSED_MILLISECONDS;
+              if (unused) {
+                connection.close();
+              }
+              return unused;
+            });
+  }
+
+  @Override
+  public void onFrame(PeerFrameListener receiver) {
+    listener = receiver;
+  }
+
+  /** Closes all connections and ends the threads. */
+  @Override
+  public void close() {
+    closed = true;
+    connections.values().forEach(PeerConnection::close);
+    group
+        .shutdownGracefully(0, CLOSE_MILLISECONDS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly(CLOSE_MILLISECONDS, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/flamingochute/entry/peer/OutgoingPeerHandler.java
@@ -0,0 +1,60 @@
+package org.flamingochute.entry.peer;
+
+import io.netty.channel.ChannelHandlerContext;
+import org.flamingochute.schema.PeerFrame;
+
+/** The opening end of a connection: proves itself, checks the peer, then the link may write. */
+final class OutgoingPeerHandler extends PeerHandler {
+  private final PeerFrameEncoder encoder;
+  private final PeerConnection connection;
+  private HandshakeTranscript transcript;
+
+  OutgoingPeerHandler(
+      PeerTransportSettings settings, PeerFrameEncoder encoder, PeerConnection connection) {
+    super(settings.ownName(), settings.secret(), settings.metrics());
+    this.encoder = encoder;
+    this.connection = connection;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) throws Exception {
+    context.writeAndFlush(helloFrame());
+    super.channelActive(context);
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
+    if (isEstablished()) {
+      throw new MalformedFrameException("a frame came back on a connection of one direction");
+    }
+    if (transcript == null) {
+      receiveHello(context, frame);
+    } else {
+      receiveProof(context, frame);
+    }
+  }
+
+  private void receiveHello(ChannelHandlerContext context, PeerFrame frame) {
+    if (!checkHello(context, frame)) {
+      return;
+    }
+    byte[] serverNonce = frame.getHello().getNonce().toByteArray();
+    transcript = new HandshakeTranscript(ownName(), frame.getSender(), nonce(), serverNonce);
+    context.writeAndFlush(proofFrame(transcript.clientProof(secret())));
+  }
+
+  private void receiveProof(ChannelHandlerContext context, PeerFrame frame) {
+    if (!checkProof(context, frame, transcript.serverProof(secret()))) {
+      return;
+    }
+    establish();
+    encoder.open(new FrameSeal(transcript.sessionKey(secret())));
+    connection.established(context.channel());
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) throws Exception {
+    connection.flush();
+    super.channelWritabilityChanged(context);
+  }
+}
--- a/entry/src/test/java/org/flamingochute/entry/FakeEntryNode.java
+++ b/entry/src/test/java/org/flamingochute/entry/FakeEntryNode.java
@@ -23,7 +23,7 @@
 import org.flamingochute.schema.StatusReport;
 
 /** A node that records what it is asked and answers by a function. */
-public final class FakeEntryNode implements EntryNode {
+public class FakeEntryNode implements EntryNode {
   public static final String KEY = "team-key";
   public static final String OPERATOR = "ana";
   public static final String OPERATOR_KEY = "operator-key";
--- /dev/null
+++ b/entry/src/test/java/org/flamingochute/entry/peer/NettyPeerTransportTest.java
@@ -0,0 +1,202 @@
+package org.flamingochute.entry.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.nullValue;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.flamingochute.schema.ImageResponse;
+import org.flamingochute.schema.PeerFrame;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Transports that talk to each other over loopback. */
+class NettyPeerTransportTest {
+  private static final int FRAME_LIMIT = 1 << 20;
+  private static final int ATTEMPTS = 100;
+
+  private final List<NettyPeerTransport> transports = new ArrayList<>();
+  private final MetricRegistry registry = new MetricRegistry();
+  private final BlockingQueue<PeerFrame> received = new LinkedBlockingQueue<>();
+
+  @AfterEach
+  void close() {
+    transports.forEach(NettyPeerTransport::close);
+  }
+
+  private NettyPeerTransport transport(String name, int port, String secret, String certificate)
+      throws IOException {
+    Optional<PeerTls> tls = Optional.empty();
+    if (certificate != null) {
+      tls =
+          Optional.of(
+              PeerTls.of(
+                  resource(certificate + ".pem"),
+                  resource(certificate + "-key.pem"),
+                  resource("authority.pem")));
+    }
+    NettyPeerTransport transport =
+        new NettyPeerTransport(
+            PeerTransportSettings.builder()
+                .ownName(name)
+                .address(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                .secret(Optional.ofNullable(secret).map(s -> s.getBytes(StandardCharsets.UTF_8)))
+                .maximumFrameBytes(FRAME_LIMIT)
+                .tls(tls)
+                .registry(registry)
+                .build());
+    transports.add(transport);
+    transport.onFrame(received::add);
+    return transport;
+  }
+
+  private static byte[] resource(String name) throws IOException {
+    try (InputStream stream = NettyPeerTransportTest.class.getResourceAsStream("/tls/" + name)) {
+      return stream.readAllBytes();
+    }
+  }
+
+  /** Sends until a frame arrives; frames may be lost, so one may not be enough. */
+  private PeerFrame sendUntilReceived(NettyPeerTransport from, String to, int attempts)
+      throws InterruptedException {
+    for (int i = 0; i < attempts; i++) {
+      from.send(to, RawPeer.gossip("a-1", "b-1", i + 1));
+      PeerFrame frame = received.poll(100, TimeUnit.MILLISECONDS);
+      if (frame != null) {
+        return frame;
+      }
+    }
+    return null;
+  }
+
+  private static String text(InetSocketAddress address) {
+    return "127.0.0.1:" + address.getPort();
+  }
+
+  static Stream<Arguments> protections() {
+    return Stream.of(
+        arguments("no secret", null, null, null, null, true),
+        arguments("same secret", "s", "s", null, null, true),
+        arguments("other secret", "s", "t", null, null, false),
+        arguments("one secret", "s", null, null, null, false),
+        arguments("TLS", "s", "s", "member", "member", true),
+        arguments("TLS without secret", null, null, "member", "member", true),
+        arguments("TLS with other secret", "s", "t", "member", "member", false),
+        arguments("untrusted client", "s", "s", "stranger", "member", false),
+        arguments("untrusted server", "s", "s", "member", "stranger", false),
+        arguments("TLS towards plain", "s", "s", "member", null, false),
+        arguments("plain towards TLS", "s", "s", null, "member", false));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("protections")
+  void framesArriveOnlyBetweenPeersThatProveThemselves(
+      String name,
+      String ownSecret,
+      String otherSecret,
+      String ownCertificate,
+      String otherCertificate,
+      boolean heard)
+      throws Exception {
+    NettyPeerTransport from = transport("a-1", 0, ownSecret, ownCertificate);
+    NettyPeerTransport to = transport("b-1", 0, otherSecret, otherCertificate);
+    String address = text(to.listen());
+    PeerFrame frame = sendUntilReceived(from, address, heard ? ATTEMPTS : 5);
+    assertThat(frame, heard ? notNullValue() : nullValue());
+  }
+
+  @Test
+  void connectionIsMadeAgainAfterThePeerWasReplaced() throws Exception {
+    NettyPeerTransport from = transport("a-1", 0, "s", null);
+    NettyPeerTransport first = transport("b-1", 0, "s", null);
+    InetSocketAddress address = first.listen();
+    assertThat(sendUntilReceived(from, text(address), ATTEMPTS), notNullValue());
+    first.close();
+    assertThat(sendUntilReceived(from, text(address), 5), nullValue());
+    assertThat(registry.counter("peer.connect_failures").getCount(), greaterThan(0L));
+    assertThat(registry.counter("peer.frames_dropped").getCount(), greaterThan(0L));
+    transport("b-1", address.getPort(), "s", null).listen();
+    assertThat(sendUntilReceived(from, text(address), ATTEMPTS), notNullValue());
+  }
+
+  @Test
+  void largeFramesArriveInOrder() throws Exception {
+    NettyPeerTransport from = transport("a-1", 0, "s", null);
+    NettyPeerTransport to = transport("b-1", 0, "s", null);
+    String address = text(to.listen());
+    assertThat(sendUntilReceived(from, address, ATTEMPTS), notNullValue());
+    received.clear();
+    byte[] image = new byte[FRAME_LIMIT / 2];
+    for (long offset = 0; offset < 3; offset++) {
+      from.send(
+          address,
+          PeerFrame.newBuilder()
+              .setSender("a-1")
+              .setReceiver("b-1")
+              .setImageResponse(
+                  ImageResponse.newBuilder().setOffset(offset).setImage(ByteString.copyFrom(image)))
+              .build());
+    }
+    for (long offset = 0; offset < 3; offset++) {
+      PeerFrame frame = received.poll(5, TimeUnit.SECONDS);
+      assertThat(frame.getImageResponse().getOffset(), equalTo(offset));
+    }
+  }
+
+  static Stream<Arguments> unsendable() {
+    byte[] large = new byte[FRAME_LIMIT];
+    PeerFrame small = RawPeer.gossip("a-1", "", 1);
+    PeerFrame oversize =
+        PeerFrame.newBuilder()
+            .setImageResponse(ImageResponse.newBuilder().setImage(ByteString.copyFrom(large)))
+            .build();
+    return Stream.of(
+        arguments("10.1.2.3:4000", small),
+        arguments("localhost:4000", small),
+        arguments("", small),
+        arguments("127.0.0.1:4000", oversize));
+  }
+
+  @ParameterizedTest
+  @MethodSource("unsendable")
+  void frameThatMayNotBeSentIsDroppedAndCounted(String address, PeerFrame frame) throws Exception {
+    transport("a-1", 0, null, null).send(address, frame);
+    assertThat(registry.counter("peer.frames_dropped").getCount(), equalTo(1L));
+  }
+
+  @Test
+  void exceptionOfTheListenerIsCountedAndTheConnectionGoesOn() throws Exception {
+    NettyPeerTransport from = transport("a-1", 0, "s", null);
+    NettyPeerTransport to = transport("b-1", 0, "s", null);
+    to.onFrame(
+        frame -> {
+          if (frame.getGossip().getSequence() == 1) {
+            throw new IllegalStateException("broken");
+          }
+          received.add(frame);
+        });
+    assertThat(sendUntilReceived(from, text(to.listen()), ATTEMPTS), notNullValue());
+    assertThat(registry.counter("peer.frame_failures").getCount(), equalTo(1L));
+    assertThat(registry.counter("peer.malformed_frames").getCount() == 0, is(true));
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/flamingochute/entry/peer/RawPeer.java
@@ -0,0 +1,120 @@
+package org.flamingochute.entry.peer;
+
+import com.google.protobuf.ByteString;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import org.flamingochute.schema.Gossip;
+import org.flamingochute.schema.PeerFrame;
+import org.flamingochute.schema.PeerHello;
+import org.flamingochute.schema.PeerHelloProof;
+
+/** A peer on a plain socket that can break the protocol at any point. */
+final class RawPeer implements AutoCloseable {
+  static final String NAME = "raw-1";
+  private static final int TIMEOUT_MILLISECONDS = 5000;
+
+  final PeerSecret secret;
+  final byte[] nonce = new byte[HandshakeTranscript.NONCE_BYTES];
+  private final Socket socket;
+  private final DataInputStream input;
+  private final DataOutputStream output;
+  HandshakeTranscript transcript;
+  FrameSeal seal;
+
+  RawPeer(InetSocketAddress address, PeerSecret secret) throws IOException {
+    this.secret = secret;
+    socket = new Socket(address.getAddress(), address.getPort());
+    socket.setSoTimeout(TIMEOUT_MILLISECONDS);
+    input = new DataInputStream(socket.getInputStream());
+    output = new DataOutputStream(socket.getOutputStream());
+  }
+
+  static PeerFrame hello(String name, int version, byte[] nonce) {
+    return PeerFrame.newBuilder()
+        .setSender(name)
+        .setHello(
+            PeerHello.newBuilder().setProtocolVersion(version).setNonce(ByteString.copyFrom(nonce)))
+        .build();
+  }
+
+  static PeerFrame proof(byte[] code) {
+    return PeerFrame.newBuilder()
+        .setSender(NAME)
+        .setHelloProof(
+            PeerHelloProof.newBuilder().setMessageAuthenticationCode(ByteString.copyFrom(code)))
+        .build();
+  }
+
+  static PeerFrame gossip(String sender, String receiver, long sequence) {
+    return PeerFrame.newBuilder()
+        .setSender(sender)
+        .setReceiver(receiver)
+        .setGossip(Gossip.newBuilder().setSequence(sequence))
+        .build();
+  }
+
+  void writeBytes(byte[] bytes) throws IOException {
+    output.write(bytes);
+    output.flush();
+  }
+
+  void write(int length, byte[] bytes) throws IOException {
+    output.writeInt(length);
+    writeBytes(bytes);
+  }
+
+  void write(PeerFrame frame) throws IOException {
+    write(frame.getSerializedSize(), frame.toByteArray());
+  }
+
+  void writeSealed(byte[] frame) throws IOException {
+    output.writeInt(PeerSecret.CODE_BYTES + frame.length);
+    output.write(seal.next(frame));
+    writeBytes(frame);
+  }
+
+  PeerFrame read() throws IOException {
+    byte[] frame = new byte[input.readInt()];
+    input.readFully(frame);
+    return PeerFrame.parseFrom(frame);
+  }
+
+  /** Exchanges the hellos. */
+  void greet() throws IOException {
+    write(hello(NAME, HandshakeTranscript.PROTOCOL_VERSION, nonce));
+    PeerFrame answer = read();
+    transcript =
+        new HandshakeTranscript(
+            NAME, answer.getSender(), nonce, answer.getHello().getNonce().toByteArray());
+  }
+
+  /** Does the whole handshake. */
+  void shakeHands() throws IOException {
+    greet();
+    write(proof(transcript.clientProof(secret)));
+    read();
+    seal = new FrameSeal(transcript.sessionKey(secret));
+  }
+
+  /** Waits until the other side closes the connection. */
+  boolean isClosedByOther() {
+    try {
+      while (input.read() >= 0) {
+        continue;
+      }
+      return true;
+    } catch (java.net.SocketTimeoutException e) {
+      return false;
+    } catch (IOException e) {
+      return true;
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
