--- a/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
+++ b/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
@@ -85,6 +85,16 @@
   FILE_UNWRITABLE(1308, "section [%s]: key \"%s\": file \"%s\" cannot be written: %s"),
   ADDRESS_UNUSABLE(1309, "section [%s]: key \"%s\": address \"%s\": %s"),
   TLS_UNUSABLE(1310, "section [peer]: TLS cannot be set up: %s"),
+
+  // Stand-ins, load tool and the operators' command line: 1400 to 1499.
+  STAND_IN_CANNOT_LISTEN(1400, "address %s: cannot listen: %s"),
+  STAND_IN_BODY_MALFORMED(1401, "%s: the body cannot be read: %s"),
+  STAND_IN_UNKNOWN_INSTANCE(1402, "instance \"%s\" is not registered"),
+  STAND_IN_PARAMETER(1403, "%s: parameter \"%s\" has value \"%s\", which is not %s"),
+  STAND_IN_UNREACHABLE(1404, "%s at %s cannot be reached: %s"),
+  FILE_NOT_WRITABLE(1405, "%s: cannot be written: %s"),
+  TOOL_COMMAND_LINE(1406, "command line: %s"),
+  REPORT_MALFORMED(1407, "%s: the report cannot be read: %s"),
   ;
 
   private final int number;
