--- a/entry/src/main/java/org/flamingochute/entry/peer/PeerConnection.java
+++ b/entry/src/main/java/org/flamingochute/entry/peer/PeerConnection.java
@@ -73,8 +73,8 @@
       case IDLE -> connect();
       case ESTABLISHED -> flush();
       case CLOSED -> metrics.dropped().inc(queue.clear());
-      case CONNECTING, WAITING -> {
-        // The frame goes out when the connection is there.
+      default -> {
+        // Connecting or waiting: the frame goes out when the connection is there.
       }
     }
   }
--- a/entry/src/test/java/org/flamingochute/entry/EntryCommandTest.java
+++ b/entry/src/test/java/org/flamingochute/entry/EntryCommandTest.java
@@ -130,7 +130,7 @@
   }
 
   @Test
-  void validSettingsPassTheCheckWithoutAStart() throws Exception {
+  void validSettingsPassTheCheckWithoutStarting() throws Exception {
     Optional<Integer> result = command.execute("--check", "--settings", settings(VALID));
     assertThat(result, equalTo(Optional.of(0)));
     assertThat(output.toString(), containsString(": valid"));
@@ -164,7 +164,7 @@
   }
 
   @Test
-  void addressInUseIsAClearErrorAndExitCodeOne() throws Exception {
+  void addressInUseIsReportedWithExitCodeOne() throws Exception {
     try (ServerSocket used = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       String address = "http_address = 127.0.0.1:" + used.getLocalPort();
       String text = VALID.replace("[platform]", address + "\n[platform]");
--- a/entry/src/test/java/org/flamingochute/entry/log/KeyValueFormatterTest.java
+++ b/entry/src/test/java/org/flamingochute/entry/log/KeyValueFormatterTest.java
@@ -37,7 +37,8 @@
             Level.SEVERE,
             "two \"words\"\nand \\ more\t",
             "level=severe event=library_message logger=some.Library"
-                + " message=\"two \\\"words\\\"\\nand \\\\ more\\u0009\""));
+                + " message=\"two \\\"words\\\"\\nand \\\\ more\\"
+                + "u0009\""));
   }
 
   @ParameterizedTest
