--- a/decision/src/test/java/org/flamingochute/decision/escrow/EscrowSimulation.java
+++ b/decision/src/test/java/org/flamingochute/decision/escrow/EscrowSimulation.java
@@ -352,7 +352,7 @@
       }
       member.frozen = false;
     }
-    SimulatedMember survivor = addMember();
+    final SimulatedMember survivor = addMember();
     now += 2 * MAXIMUM_REQUEST_MILLISECONDS;
     members.forEach(member -> member.endExpired(now));
     for (TeamId team : TEAMS) {
