--- /dev/null
+++ b/engine/src/test/java/org/flamingochute/engine/JobPromisesTest.java
@@ -0,0 +1,239 @@
+package org.flamingochute.engine;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.flamingochute.decision.error.ErrorCode;
+import org.flamingochute.decision.error.ErrorReport;
+import org.flamingochute.decision.identity.JobId;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.engine.fake.Cluster;
+import org.flamingochute.schema.InstanceState;
+import org.flamingochute.schema.JobImage;
+import org.flamingochute.schema.JobPhase;
+import org.flamingochute.schema.JobSubmissionBody;
+import org.flamingochute.schema.ResourceAmount;
+import org.junit.jupiter.api.Named;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** No job vanishes, none runs twice when it must not, and jobs count towards the cap. */
+class JobPromisesTest {
+
+  private static JobSubmissionBody body(boolean idempotent, String key) {
+    return JobSubmissionBody.newBuilder()
+        .setPool("press")
+        .setDeclared(
+            ResourceAmount.newBuilder().setProcessorMillicores(500).setMemoryMebibytes(256))
+        .setIdempotent(idempotent)
+        .setIdempotencyKey(key)
+        .build();
+  }
+
+  private static CompletableFuture<Either<ErrorReport, JobImage>> submit(
+      Cluster cluster, int entry, boolean idempotent, String key) {
+    return cluster.entry(entry).node.submitJob(Cluster.RED_KEY, body(idempotent, key));
+  }
+
+  private static JobId acknowledged(CompletableFuture<Either<ErrorReport, JobImage>> future) {
+    assertThat("submission has ended", future.isDone(), is(true));
+    return new JobId(future.join().get().getSubmitted().getJob());
+  }
+
+  private static JobPhase phase(Cluster cluster, int entry, JobId job) {
+    return cluster.entry(entry).node.job(Cluster.RED_KEY, job).get().getPhase();
+  }
+
+  @Test
+  void acknowledgedJobRunsOnceAndSucceeds() {
+    Cluster cluster = Cluster.started(3);
+    CompletableFuture<Either<ErrorReport, JobImage>> future = submit(cluster, 0, false, "");
+    cluster.clock.advance(200);
+    JobId job = acknowledged(future);
+    cluster.clock.advance(5_000);
+    assertThat(phase(cluster, 2, job), is(JobPhase.JOB_SUCCEEDED));
+    assertThat(cluster.workers.begun(job.value()), is(1L));
+  }
+
+  @Test
+  void secondSubmissionWithTheSameKeyIsTheSameJob() {
+    Cluster cluster = Cluster.started(3);
+    CompletableFuture<Either<ErrorReport, JobImage>> first = submit(cluster, 0, false, "k");
+    final CompletableFuture<Either<ErrorReport, JobImage>> second = submit(cluster, 1, false, "k");
+    cluster.clock.advance(5_000);
+    assertThat(acknowledged(second), is(acknowledged(first)));
+    assertThat(cluster.workers.begun().size(), is(1));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"stranger, press, KEY_UNKNOWN", "red-secret, proofs, POOL_UNKNOWN"})
+  void refusedSubmissionNamesItsReason(String key, String pool, ErrorCode code) {
+    Cluster cluster = Cluster.started(1);
+    JobSubmissionBody job = body(true, "").toBuilder().setPool(pool).build();
+    Either<ErrorReport, JobImage> result = cluster.entry(0).node.submitJob(key, job).join();
+    assertThat(result.getLeft().code(), is(code));
+  }
+
+  static Stream<Named<Consumer<Cluster>>> faults() {
+    return Stream.of(
+        Named.of("no fault", cluster -> {}),
+        Named.of("the placer is killed", JobPromisesTest::killPlacer),
+        Named.of("the placer is frozen and thawed", JobPromisesTest::freezePlacer),
+        Named.of("the placer stops gracefully", JobPromisesTest::stopPlacer),
+        Named.of("replies of the log are lost", cluster -> cluster.log.loseReplies(6)),
+        Named.of("appends are stored twice", cluster -> cluster.log.repeatAppends(6)),
+        Named.of("replies of starts are lost", cluster -> cluster.workers.loseStartReplies(3)),
+        Named.of("the log is down for a while", JobPromisesTest::interruptLog),
+        Named.of("the placer is killed while replies are lost", JobPromisesTest::killAndLose));
+  }
+
+  private static int placer(Cluster cluster) {
+    String incarnation =
+        cluster.entry(0).node.agreed().placer(new PoolId("press")).get().getIncarnation();
+    for (int i = 0; i < cluster.entries.size(); i++) {
+      if (incarnation.startsWith(cluster.entry(i).instance)) {
+        return i;
+      }
+    }
+    throw new IllegalStateException("no entry is " + incarnation);
+  }
+
+  private static void killPlacer(Cluster cluster) {
+    int placer = placer(cluster);
+    cluster.kill(placer);
+    cluster.listGone(cluster.entry(placer).instance);
+  }
+
+  private static void freezePlacer(Cluster cluster) {
+    int placer = placer(cluster);
+    cluster.entry(placer).process.freeze();
+    cluster.clock.schedule(Duration.ofSeconds(8), () -> cluster.entry(placer).process.thaw());
+  }
+
+  private static void stopPlacer(Cluster cluster) {
+    cluster.entry(placer(cluster)).node.stop();
+  }
+
+  private static void interruptLog(Cluster cluster) {
+    cluster.log.setDown(true);
+    cluster.clock.schedule(Duration.ofSeconds(15), () -> cluster.log.setDown(false));
+  }
+
+  private static void killAndLose(Cluster cluster) {
+    cluster.log.loseReplies(10);
+    killPlacer(cluster);
+  }
+
+  @ParameterizedTest
+  @MethodSource("faults")
+  void everyAcknowledgedJobEndsAndNoneRunsTwice(Consumer<Cluster> fault) {
+    Cluster cluster = Cluster.started(3);
+    List<CompletableFuture<Either<ErrorReport, JobImage>>> futures = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      futures.add(submit(cluster, i % 3, false, "key-" + i));
+    }
+    cluster.clock.advance(400);
+    fault.accept(cluster);
+    cluster.clock.advance(120_000);
+    int witness = 0;
+    while (cluster.entry(witness).process.isDead() || !cluster.entry(witness).node.isReady()) {
+      witness++;
+    }
+    for (CompletableFuture<Either<ErrorReport, JobImage>> future : futures) {
+      JobId job = acknowledged(future);
+      assertThat(job.value(), phase(cluster, witness, job), is(JobPhase.JOB_SUCCEEDED));
+      assertThat(job.value(), cluster.workers.begun(job.value()), is(1L));
+    }
+  }
+
+  @Test
+  void runningJobsStayWithinTheCap() {
+    Cluster cluster = Cluster.started(3, "team red cap 3");
+    for (int i = 0; i < 12; i++) {
+      submit(cluster, i % 3, true, "");
+    }
+    long most = 0;
+    for (int i = 0; i < 200; i++) {
+      cluster.clock.advance(50);
+      most = Math.max(most, cluster.workers.running());
+    }
+    assertThat(most, greaterThan(1L));
+    assertThat(most, lessThanOrEqualTo(3L));
+    assertThat(cluster.workers.begun().size(), is(12));
+  }
+
+  @Test
+  void cancelledJobsStopAndDoNotRun() {
+    Cluster cluster = Cluster.started(3, "team red cap 2");
+    cluster.workers.setRunMilliseconds(60_000);
+    List<JobId> jobs = new ArrayList<>();
+    List<CompletableFuture<Either<ErrorReport, JobImage>>> futures = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      futures.add(submit(cluster, 0, false, "key-" + i));
+    }
+    cluster.clock.advance(3_000);
+    futures.forEach(future -> jobs.add(acknowledged(future)));
+    final int begun = cluster.workers.begun().size();
+    cluster.entry(1).node.cancelJobs(Cluster.RED_KEY, jobs);
+    cluster.clock.advance(3_000);
+    for (JobId job : jobs) {
+      assertThat(phase(cluster, 0, job), is(JobPhase.JOB_CANCELLED));
+    }
+    assertThat(cluster.workers.running(), is(0L));
+    assertThat(cluster.workers.begun().size(), is(begun));
+  }
+
+  @Test
+  void workerThatFailsEverythingDoesNotFailTheJobs() {
+    Cluster cluster = Cluster.started(2);
+    cluster.workers.fail("worker-1");
+    List<CompletableFuture<Either<ErrorReport, JobImage>>> futures = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      futures.add(submit(cluster, 0, true, "key-" + i));
+    }
+    cluster.clock.advance(60_000);
+    for (CompletableFuture<Either<ErrorReport, JobImage>> future : futures) {
+      assertThat(phase(cluster, 0, acknowledged(future)), is(JobPhase.JOB_SUCCEEDED));
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"true, JOB_SUCCEEDED", "false, JOB_OUTCOME_UNKNOWN"})
+  void jobOfLostWorkerIsRepeatedOnlyWhenIdempotent(boolean idempotent, JobPhase expected) {
+    Cluster cluster = Cluster.started(2);
+    cluster.workers.setRunMilliseconds(5_000);
+    CompletableFuture<Either<ErrorReport, JobImage>> future = submit(cluster, 0, idempotent, "k");
+    cluster.clock.advance(1_000);
+    JobId job = acknowledged(future);
+    String worker = cluster.entry(0).node.job(Cluster.RED_KEY, job).get().getWorker();
+    cluster.platform.setState(worker, InstanceState.INSTANCE_GONE);
+    cluster.clock.advance(40_000);
+    assertThat(phase(cluster, 0, job), is(expected));
+  }
+
+  @Test
+  void jobThatFitsNoWorkerIsParkedWithItsReason() {
+    Cluster cluster = Cluster.started(2);
+    JobSubmissionBody large =
+        body(true, "").toBuilder()
+            .setDeclared(ResourceAmount.newBuilder().setProcessorMillicores(1_000_000))
+            .build();
+    CompletableFuture<Either<ErrorReport, JobImage>> future =
+        cluster.entry(0).node.submitJob(Cluster.RED_KEY, large);
+    cluster.clock.advance(3_000);
+    JobImage job = cluster.entry(1).node.job(Cluster.RED_KEY, acknowledged(future)).get();
+    assertThat(job.getPhase(), is(JobPhase.JOB_PARKED));
+    assertThat(job.getReason().isEmpty(), is(false));
+  }
+}
--- /dev/null
+++ b/engine/src/test/java/org/flamingochute/engine/PlannedStopTest.java
@@ -0,0 +1,195 @@
+package org.flamingochute.engine;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.decision.identity.WaveId;
+import org.flamingochute.engine.fake.Cluster;
+import org.flamingochute.schema.InstanceImage;
+import org.flamingochute.schema.InstanceState;
+import org.flamingochute.schema.PoolAction;
+import org.flamingochute.schema.PoolOperation;
+import org.flamingochute.schema.WaveImage;
+import org.junit.jupiter.api.Named;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Planned stops of runners and of entries cut nothing and keep the availability budgets. */
+class PlannedStopTest {
+
+  private static final PoolId PROOFS = new PoolId("proofs");
+
+  private static int available(Cluster cluster, int entry) {
+    int count = 0;
+    Collection<InstanceImage> instances = cluster.entry(entry).node.agreed().instances(PROOFS);
+    for (InstanceImage instance : instances) {
+      boolean live = instance.getObserved().getState() == InstanceState.INSTANCE_LIVE;
+      if (live && !instance.hasStop()) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  private static Set<String> performed(Cluster cluster, PoolAction action) {
+    Set<String> instances = new HashSet<>();
+    for (PoolOperation operation : cluster.platform.operations()) {
+      if (operation.getAction() == action) {
+        instances.add(operation.getInstance());
+      }
+    }
+    return instances;
+  }
+
+  static Stream<Named<Consumer<Cluster>>> faults() {
+    return Stream.of(
+        Named.of("no fault", cluster -> {}),
+        Named.of("an entry is killed", PlannedStopTest::killFirst),
+        Named.of("replies of the log are lost", cluster -> cluster.log.loseReplies(10)),
+        Named.of("the log is slow", cluster -> cluster.log.setLatencyMilliseconds(200)),
+        Named.of("frames are lost", cluster -> cluster.network.loseEvery(3)));
+  }
+
+  private static void killFirst(Cluster cluster) {
+    cluster.kill(0);
+    cluster.listGone("entry-1");
+  }
+
+  @ParameterizedTest
+  @MethodSource("faults")
+  void waveRebootsEveryRunnerWithinTheBudgetAndCutsNoRequest(Consumer<Cluster> fault) {
+    Cluster cluster = Cluster.started(3);
+    cluster.endpoints.setServiceMilliseconds(200);
+    cluster.patch(1, "wave may pools proofs", "wave may action reboot");
+    cluster.clock.advance(1_000);
+    fault.accept(cluster);
+    List<CompletableFuture<CallerOutcome>> futures = new ArrayList<>();
+    int fewest = 3;
+    for (int i = 0; i < 900; i++) {
+      futures.add(cluster.send(1 + i % 2, Cluster.BLUE_KEY, "/blue/" + i));
+      cluster.clock.advance(100);
+      fewest = Math.min(fewest, available(cluster, 1));
+    }
+    cluster.clock.advance(5_000);
+    assertThat(fewest, greaterThanOrEqualTo(2));
+    assertThat(performed(cluster, PoolAction.POOL_REBOOT).size(), is(3));
+    Optional<WaveImage> wave = cluster.entry(1).node.agreed().wave(new WaveId("may"));
+    assertThat(wave.get().getFinishedInstancesCount(), is(3));
+    for (CompletableFuture<CallerOutcome> future : futures) {
+      assertThat(future.join(), not(instanceOf(CallerOutcome.Unknown.class)));
+    }
+  }
+
+  @Test
+  void runnerWithWorkInFlightIsNotDrained() {
+    Cluster cluster = Cluster.started(2);
+    cluster.endpoints.setServiceMilliseconds(1_900);
+    cluster.patch(0, "wave may pools proofs");
+    for (int i = 0; i < 100; i++) {
+      cluster.send(i % 2, Cluster.RED_KEY, "/red/x");
+      cluster.clock.advance(100);
+      for (String drained : performed(cluster, PoolAction.POOL_DRAIN)) {
+        long begunLately =
+            cluster.endpoints.executions().stream()
+                .filter(execution -> execution.address().equals(drained))
+                .filter(
+                    execution ->
+                        execution.beganMilliseconds() > cluster.clock.monotonicMilliseconds() - 100)
+                .count();
+        boolean stopped =
+            cluster
+                .entry(0)
+                .node
+                .agreed()
+                .instance(new InstanceId(drained))
+                .map(InstanceImage::hasStop)
+                .orElse(false);
+        assertThat(drained, stopped && begunLately > 0, is(false));
+      }
+    }
+  }
+
+  @Test
+  void waveStopsAfterRepeatedFailures() {
+    Cluster cluster = Cluster.started(2);
+    for (int i = 1; i <= 3; i++) {
+      cluster.platform.failOperations("runner-" + i);
+    }
+    cluster.patch(0, "wave may pools proofs");
+    cluster.clock.advance(60_000);
+    WaveImage wave = cluster.entry(0).node.agreed().wave(new WaveId("may")).get();
+    assertThat(wave.getStopped(), is(true));
+    assertThat(available(cluster, 0), is(3));
+  }
+
+  @Test
+  void smallerSizeRetiresTheSurplusOnly() {
+    Cluster cluster = Cluster.started(2);
+    cluster.patch(0, "pool proofs size 2");
+    cluster.clock.advance(30_000);
+    assertThat(performed(cluster, PoolAction.POOL_RETIRE).size(), is(1));
+    assertThat(cluster.entry(1).node.agreed().instances(PROOFS).size(), is(2));
+  }
+
+  @Test
+  void pinnedInstanceMovesOnce() {
+    Cluster cluster = Cluster.started(2, "pool quotes kind runner", "pool quotes size 0");
+    cluster.patch(0, "instance runner-3 pool quotes");
+    cluster.clock.advance(30_000);
+    InstanceImage moved = cluster.entry(1).node.agreed().instance(new InstanceId("runner-3")).get();
+    assertThat(moved.getPool(), is("quotes"));
+    assertThat(moved.hasStop(), is(false));
+    assertThat(performed(cluster, PoolAction.POOL_RETURN), is(Set.of("runner-3")));
+  }
+
+  @Test
+  void stoppingEntryFinishesItsWorkAndHandsItsTokensOver() {
+    Cluster cluster = Cluster.started(3);
+    cluster.endpoints.setServiceMilliseconds(1_000);
+    List<CompletableFuture<CallerOutcome>> futures = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      futures.add(cluster.send(0, Cluster.RED_KEY, "/red/" + i));
+    }
+    cluster.clock.advance(400);
+    final CompletableFuture<Void> stopped = cluster.entry(0).node.stop();
+    assertThat(cluster.entry(0).node.isReady(), is(false));
+    CallerOutcome refused = cluster.send(0, Cluster.RED_KEY, "/red/new").join();
+    assertThat(refused, instanceOf(CallerOutcome.NotRun.class));
+    cluster.clock.advance(5_000);
+    assertThat(stopped.isDone(), is(true));
+    for (CompletableFuture<CallerOutcome> future : futures) {
+      assertThat(future.join(), instanceOf(CallerOutcome.Answered.class));
+    }
+    cluster.clock.advance(2_000);
+    for (int i = 0; i < 6; i++) {
+      cluster.send(1, Cluster.RED_KEY, "/red/after");
+    }
+    cluster.clock.advance(900);
+    assertThat(cluster.endpoints.mostRunning("red"), is(6));
+  }
+
+  @Test
+  void lastEntryStopsToo() {
+    Cluster cluster = Cluster.started(1);
+    CompletableFuture<Void> stopped = cluster.entry(0).node.stop();
+    cluster.clock.advance(2_000);
+    assertThat(stopped.isDone(), is(true));
+    assertThat(cluster.entry(0).node.agreed().members(), is(empty()));
+  }
+}
--- /dev/null
+++ b/engine/src/test/java/org/flamingochute/engine/StartUpTest.java
@@ -0,0 +1,111 @@
+package org.flamingochute.engine;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.concurrent.CompletableFuture;
+import org.flamingochute.engine.fake.Cluster;
+import org.flamingochute.schema.LogRecord;
+import org.flamingochute.schema.StoredRecord;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Processes start from snapshots and from peers, and a process never goes back. */
+class StartUpTest {
+
+  private static long newestSnapshot(Cluster cluster) {
+    long newest = -1;
+    for (StoredRecord stored : cluster.log.records()) {
+      try {
+        LogRecord record = LogRecord.parseFrom(stored.getRecord());
+        if (record.hasSnapshotPart()) {
+          newest = Math.max(newest, record.getSnapshotPart().getCoveredOffset());
+        }
+      } catch (InvalidProtocolBufferException malformed) {
+        throw new IllegalStateException(malformed);
+      }
+    }
+    return newest;
+  }
+
+  private static void writeManyRecords(Cluster cluster) {
+    for (int i = 0; i < 60; i++) {
+      cluster.patch(0, "team red share " + (i + 1));
+      cluster.clock.advance(300);
+    }
+  }
+
+  @Test
+  void newProcessStartsFromSnapshotWhenOldRecordsAreGone() {
+    Cluster cluster = Cluster.startedWithSnapshots(2, 20);
+    writeManyRecords(cluster);
+    long snapshot = newestSnapshot(cluster);
+    assertThat(snapshot, greaterThan(20L));
+    cluster.log.expireBefore(snapshot + 1);
+    cluster.addEntry("entry-9", "entry-9-a");
+    cluster.clock.advance(5_000);
+    assertThat(cluster.entry(2).node.isReady(), is(true));
+    assertThat(
+        cluster.entry(2).node.agreed().description(),
+        is(cluster.entry(0).node.agreed().description()));
+  }
+
+  @Test
+  void sleeperCatchesUpAfterItsRecordsExpired() {
+    Cluster cluster = Cluster.startedWithSnapshots(3, 20);
+    cluster.entry(2).process.freeze();
+    writeManyRecords(cluster);
+    cluster.log.expireBefore(newestSnapshot(cluster) + 1);
+    cluster.entry(2).process.thaw();
+    cluster.clock.advance(5_000);
+    assertThat(
+        cluster.entry(2).node.agreed().description(),
+        is(cluster.entry(0).node.agreed().description()));
+    CompletableFuture<CallerOutcome> future = cluster.send(2, Cluster.BLUE_KEY, "/blue/x");
+    cluster.clock.advance(3_000);
+    assertThat(future.join(), instanceOf(CallerOutcome.Answered.class));
+  }
+
+  @Test
+  void newProcessTakesTheStateFromPeersWhileTheLogIsDown() {
+    Cluster cluster = Cluster.started(2);
+    cluster.log.setDown(true);
+    cluster.clock.advance(1_000);
+    cluster.addEntry("entry-9", "entry-9-a");
+    cluster.clock.advance(5_000);
+    assertThat(
+        cluster.entry(2).node.agreed().offset(), is(cluster.entry(0).node.agreed().offset()));
+    assertThat(cluster.entry(2).node.isReady(), is(false));
+    cluster.log.setDown(false);
+    cluster.clock.advance(10_000);
+    assertThat(cluster.entry(2).node.isReady(), is(true));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 3, 8})
+  void lostRepliesLeaveNoRecordOut(int lost) {
+    Cluster cluster = Cluster.started(2);
+    final long version = cluster.entry(0).node.agreed().description().getVersion();
+    cluster.log.loseReplies(lost);
+    cluster.patch(0, "team red share 7");
+    cluster.clock.advance(10_000);
+    assertThat(cluster.entry(1).node.agreed().description().getVersion(), is(version + 1));
+  }
+
+  @Test
+  void onlyOneOfTwoPatchesOnTheSameVersionIsAccepted() {
+    Cluster cluster = Cluster.started(2);
+    cluster.patch(0, "team red share 3");
+    cluster.patch(1, "team red share 4");
+    cluster.clock.advance(1_000);
+    assertThat(cluster.entry(0).node.agreed().description().getVersion(), is(2L));
+    assertThat(
+        cluster.entry(0).node.agreed().description(),
+        is(cluster.entry(1).node.agreed().description()));
+    assertThat(cluster.entry(0).node.agreed().audit().size(), is(3));
+  }
+}
--- a/engine/src/test/java/org/flamingochute/engine/fake/Cluster.java
+++ b/engine/src/test/java/org/flamingochute/engine/fake/Cluster.java
@@ -75,9 +75,20 @@
     }
   }
 
+  private static final int DEFAULT_SNAPSHOT_RECORDS = 5_000;
+
+  private int snapshotRecords = DEFAULT_SNAPSHOT_RECORDS;
+
   /** Starts entries, applies the fleet and waits until all are ready. */
   public static Cluster started(int entries, String... extraChanges) {
+    return startedWithSnapshots(entries, DEFAULT_SNAPSHOT_RECORDS, extraChanges);
+  }
+
+  /** Starts entries that write a snapshot after so many records. */
+  public static Cluster startedWithSnapshots(
+      int entries, int snapshotRecords, String... extraChanges) {
     Cluster cluster = new Cluster();
+    cluster.snapshotRecords = snapshotRecords;
     cluster.listEndpoints();
     for (int i = 1; i <= entries; i++) {
       cluster.addEntry("entry-" + i, "entry-" + i + "-a");
@@ -239,7 +250,7 @@
         .build();
   }
 
-  private static EntrySettings settings(String instance) {
+  private EntrySettings settings(String instance) {
     String text =
         """
         [entry]
@@ -250,8 +261,10 @@
         log_address = 127.0.0.1:1
         list_address = 127.0.0.1:1
         pool_address = 127.0.0.1:1
+        [timing]
+        snapshot_records = %d
         """
-            .formatted(instance, KeyDigest.of(OPERATOR_KEY));
+            .formatted(instance, KeyDigest.of(OPERATOR_KEY), snapshotRecords);
     return new SettingsReader<>(EntrySettings.getDefaultInstance())
         .read("entry.ini", text)
         .getOrElseThrow(reports -> new IllegalStateException(reports.toString()));
