Keep loops alive after failures, and answer token requests late

Cause: one exception in a poll or a reaction ended that part of the node for good; a request for tokens that came a moment before one was free waited for the next heartbeat; a busy endpoint used up the few attempts of a request; two entries that stop at once could send their tokens to and fro; a test of the withdrawn key passed for another reason (the request was shed by its deadline), which a mutant showed. Ruled out: more attempts for failures, since unreachable endpoints are ejected instead.

--- a/engine/src/main/java/org/flamingochute/engine/job/JobPlacer.java
+++ b/engine/src/main/java/org/flamingochute/engine/job/JobPlacer.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,6 +24,7 @@
 import org.flamingochute.decision.placement.WorkerCondition;
 import org.flamingochute.engine.log.LogAppender;
 import org.flamingochute.engine.request.WorkGate;
+import org.flamingochute.engine.task.SerialTask;
 import org.flamingochute.platform.Timers;
 import org.flamingochute.schema.InstanceImage;
 import org.flamingochute.schema.InstanceState;
@@ -83,10 +85,14 @@
     return starter.isIdle();
   }
 
-  /** Renews leases and records ends, when this entry is the placer. */
-  void look() {
+  /**
+   * Renews leases and records ends, when this entry is the placer.
+   *
+   * @param interval shortest time between two looks at a worker
+   */
+  void look(Duration interval) {
     if (coordinator.ownEpoch(pool).isPresent()) {
-      watch.look(agreed.jobs(pool, JobPhase.JOB_RUNNING));
+      watch.look(agreed.jobs(pool, JobPhase.JOB_RUNNING), interval);
     }
   }
 
--- a/engine/src/main/java/org/flamingochute/engine/job/JobPlacers.java
+++ b/engine/src/main/java/org/flamingochute/engine/job/JobPlacers.java
@@ -10,6 +10,7 @@
 import org.flamingochute.decision.placement.FairPlacement;
 import org.flamingochute.decision.placement.FairPlacementSettings;
 import org.flamingochute.engine.log.FoldReaction;
+import org.flamingochute.engine.task.RepeatingTask;
 import org.flamingochute.schema.JobImage;
 import org.flamingochute.schema.JobPhase;
 import org.flamingochute.schema.PoolSection;
@@ -20,26 +21,30 @@
   /** Time between looks at the workers, which renew the leases of tasks. */
   private static final Duration LOOK_INTERVAL = Duration.ofMillis(250);
 
+  /** Mean time between looks at any two workers. */
+  private static final Duration LOOK_SPACING = Duration.ofMillis(10);
+
   private static final String WORKER_KIND = "worker";
 
   private final JobParts parts;
   private final Map<PoolId, JobPlacer> placers = new ConcurrentHashMap<>();
-  private volatile boolean running;
+  private final RepeatingTask looks;
 
   /** Creates placers that have not yet begun. */
   public JobPlacers(JobParts parts) {
     this.parts = parts;
+    this.looks =
+        RepeatingTask.of("placers", parts.timers(), LOOK_INTERVAL, this::look, parts.metrics());
   }
 
   /** Begins to claim pools and to place jobs. */
   public void start() {
-    running = true;
-    look();
+    looks.start();
   }
 
   /** Ends claiming and placing. */
   public void stop() {
-    running = false;
+    looks.stop();
   }
 
   /** Returns the jobs of a team that wait in the pools that this entry places. */
@@ -70,7 +75,7 @@
 
   /** Places jobs, after tokens or room may have come free. */
   public void step() {
-    if (!running) {
+    if (!looks.isRunning()) {
       return;
     }
     for (PoolId pool : pools()) {
@@ -84,15 +89,24 @@
   }
 
   private void look() {
-    if (!running) {
-      return;
-    }
+    Duration interval = workerInterval();
     for (PoolId pool : pools()) {
       parts.coordinator().claimIfVacant(pool);
-      placer(pool).look();
+      placer(pool).look(interval);
     }
     step();
-    parts.timers().schedule(LOOK_INTERVAL, this::look);
+  }
+
+  /** Spreads the looks so that their number in a second is bounded at any number of workers. */
+  private Duration workerInterval() {
+    int workers = 0;
+    for (PoolId pool : pools()) {
+      if (parts.coordinator().ownEpoch(pool).isPresent()) {
+        workers += parts.agreed().instances(pool).size();
+      }
+    }
+    Duration spread = LOOK_SPACING.multipliedBy(workers);
+    return spread.compareTo(LOOK_INTERVAL) > 0 ? spread : LOOK_INTERVAL;
   }
 
   private JobPlacer placer(PoolId pool) {
--- a/engine/src/main/java/org/flamingochute/engine/job/WorkerWatch.java
+++ b/engine/src/main/java/org/flamingochute/engine/job/WorkerWatch.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -41,6 +42,7 @@
   private final long leaseMilliseconds;
   private final Timers timers;
   private final Map<InstanceId, Long> goneMilliseconds = new HashMap<>();
+  private final Map<InstanceId, Long> lookedMilliseconds = new HashMap<>();
   private final Set<InstanceId> looking = new HashSet<>();
   private final Set<AttemptId> stopping = new HashSet<>();
 
@@ -54,13 +56,17 @@
     this.leaseMilliseconds = leaseMilliseconds;
   }
 
-  /** Looks at every worker that has running attempts of the jobs. */
-  void look(Iterable<JobImage> running) {
+  /**
+   * Looks at every worker that has running attempts of the jobs.
+   *
+   * @param interval shortest time between two looks at a worker
+   */
+  void look(Iterable<JobImage> running, Duration interval) {
     Map<InstanceId, List<JobImage>> byWorker = new HashMap<>();
     for (JobImage job : running) {
       byWorker.computeIfAbsent(new InstanceId(job.getWorker()), key -> new ArrayList<>()).add(job);
     }
-    byWorker.forEach(this::lookAt);
+    byWorker.forEach((worker, jobs) -> lookAt(worker, jobs, interval));
   }
 
   /** Stops a running attempt; its end is recorded from the worker's answer. */
@@ -81,7 +87,7 @@
     return stopping.contains(attempt);
   }
 
-  private void lookAt(InstanceId worker, List<JobImage> jobs) {
+  private void lookAt(InstanceId worker, List<JobImage> jobs, Duration interval) {
     Optional<InstanceImage> instance = agreed.instance(worker);
     boolean gone =
         instance.isEmpty()
@@ -91,7 +97,7 @@
       return;
     }
     noteHere(worker);
-    if (!beginLook(worker)) {
+    if (!beginLook(worker, interval)) {
       return;
     }
     String address = instance.get().getObserved().getAddress();
@@ -174,8 +180,17 @@
         && now.get().getAttempts() == job.getAttempts();
   }
 
-  private synchronized boolean beginLook(InstanceId worker) {
-    return looking.add(worker);
+  private synchronized boolean beginLook(InstanceId worker, Duration interval) {
+    long now = timers.monotonicMilliseconds();
+    Long last = lookedMilliseconds.get(worker);
+    if (last != null && now - last < interval.toMillis()) {
+      return false;
+    }
+    if (!looking.add(worker)) {
+      return false;
+    }
+    lookedMilliseconds.put(worker, now);
+    return true;
   }
 
   private synchronized void endLook(InstanceId worker) {
--- a/engine/src/main/java/org/flamingochute/engine/log/LogFollower.java
+++ b/engine/src/main/java/org/flamingochute/engine/log/LogFollower.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.flamingochute.decision.agreement.AgreedState;
+import org.flamingochute.engine.task.RepeatingTask;
 import org.flamingochute.platform.PlatformError;
 import org.flamingochute.platform.PlatformLog;
 import org.flamingochute.platform.Timers;
@@ -44,7 +45,6 @@
   private final AgreedState agreed;
   private final Timers timers;
   private final FreshnessMonitor freshness;
-  private final Duration pollInterval;
   private final MetricRegistry metrics;
   private final RecentRecords recentRecords = new RecentRecords();
   private final List<FoldReaction> reactions = new CopyOnWriteArrayList<>();
@@ -52,7 +52,7 @@
   private final Object passLock = new Object();
   private List<CompletableFuture<Boolean>> askedFor = new ArrayList<>();
   private boolean passUnderWay;
-  private volatile boolean running;
+  private final RepeatingTask polls;
   private volatile boolean lastPassReachedEnd;
 
   /** Creates a follower that has not yet begun. */
@@ -67,8 +67,8 @@
     this.agreed = agreed;
     this.timers = timers;
     this.freshness = freshness;
-    this.pollInterval = pollInterval;
     this.metrics = metrics;
+    this.polls = new RepeatingTask("log_poll", timers, pollInterval, this::readToEnd, metrics);
   }
 
   /** Adds a reaction that runs after each group of folded records, outside of every lock. */
@@ -88,13 +88,12 @@
 
   /** Begins to poll the log. */
   public void start() {
-    running = true;
-    poll();
+    polls.start();
   }
 
   /** Ends polling. A pass under way still folds what it has read. */
   public void stop() {
-    running = false;
+    polls.stop();
   }
 
   /**
@@ -147,13 +146,6 @@
     return true;
   }
 
-  private void poll() {
-    if (!running) {
-      return;
-    }
-    readToEnd().thenAccept(reached -> timers.schedule(pollInterval, this::poll));
-  }
-
   private void beginPass() {
     List<CompletableFuture<Boolean>> served;
     synchronized (passLock) {
@@ -175,7 +167,7 @@
       long from,
       Either<PlatformError, ReadResponse> answer) {
     if (answer.isRight()) {
-      takeRecords(served, begun, answer.get());
+      takeRecordsSafely(served, begun, answer.get());
       return;
     }
     switch (answer.getLeft()) {
@@ -185,6 +177,17 @@
     }
   }
 
+  /** A failure of one pass must not end the passes. */
+  private void takeRecordsSafely(
+      List<CompletableFuture<Boolean>> served, long begun, ReadResponse response) {
+    try {
+      takeRecords(served, begun, response);
+    } catch (RuntimeException failure) {
+      logger.atSevere().withCause(failure).log("event=fold_failed offset=%d", agreed.offset());
+      passFailed(served, "the fold failed");
+    }
+  }
+
   private void takeRecords(
       List<CompletableFuture<Boolean>> served, long begun, ReadResponse response) {
     int folded = foldAll(response.getRecordsList());
@@ -277,9 +280,18 @@
     }
   }
 
+  private void runSafely(FoldReaction reaction) {
+    try {
+      reaction.folded();
+    } catch (RuntimeException failure) {
+      metrics.counter("tasks.failed").inc();
+      logger.atSevere().withCause(failure).log("event=reaction_failed");
+    }
+  }
+
   private void react() {
     for (FoldReaction reaction : reactions) {
-      reaction.folded();
+      runSafely(reaction);
     }
   }
 }
--- a/engine/src/main/java/org/flamingochute/engine/maintenance/MaintenanceCoordinator.java
+++ b/engine/src/main/java/org/flamingochute/engine/maintenance/MaintenanceCoordinator.java
@@ -3,7 +3,8 @@
 import java.time.Duration;
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.maintenance.DomainWavePlanner;
-import org.flamingochute.engine.job.SerialTask;
+import org.flamingochute.engine.task.RepeatingTask;
+import org.flamingochute.engine.task.SerialTask;
 
 /**
  * Coordinates planned stops while this entry is the placer of the reserved pool {@link #POOL}.
@@ -24,7 +25,7 @@
   private final PoolBalancer balancer;
   private final PoolId pool = new PoolId(POOL);
   private final SerialTask step = new SerialTask(this::stepOnce);
-  private volatile boolean running;
+  private final RepeatingTask ticks;
 
   /** Creates a coordinator that has not yet begun. */
   public MaintenanceCoordinator(MaintenanceParts parts) {
@@ -33,26 +34,19 @@
     PoolSnapshot pools = new PoolSnapshot(parts.agreed(), parts.load());
     this.driver = new StopDriver(parts);
     this.waves = new WaveRunner(parts.agreed(), pools, requester, new DomainWavePlanner());
+    this.ticks =
+        RepeatingTask.of("maintenance", parts.timers(), INTERVAL, step::run, parts.metrics());
     this.balancer = new PoolBalancer(parts.agreed(), pools, requester, parts.demand());
   }
 
   /** Begins to coordinate whenever this entry holds the epoch. */
   public void start() {
-    running = true;
-    tick();
+    ticks.start();
   }
 
   /** Ends coordinating. */
   public void stop() {
-    running = false;
-  }
-
-  private void tick() {
-    if (!running) {
-      return;
-    }
-    step.run();
-    parts.timers().schedule(INTERVAL, this::tick);
+    ticks.stop();
   }
 
   private void stepOnce() {
--- a/engine/src/main/java/org/flamingochute/engine/membership/ListObserver.java
+++ b/engine/src/main/java/org/flamingochute/engine/membership/ListObserver.java
@@ -9,12 +9,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.flamingochute.decision.agreement.AgreedView;
 import org.flamingochute.decision.agreement.AgreementListener;
 import org.flamingochute.decision.identity.Identifiers;
 import org.flamingochute.decision.identity.Incarnation;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.engine.log.LogAppender;
+import org.flamingochute.engine.task.RepeatingTask;
 import org.flamingochute.platform.InstanceList;
 import org.flamingochute.platform.PlatformError;
 import org.flamingochute.platform.Timers;
@@ -50,15 +52,13 @@
   private final AgreedView agreed;
   private final MemberRank rank;
   private final LogAppender appender;
-  private final Timers timers;
   private final Incarnation self;
-  private final Duration interval;
   private final MetricRegistry metrics;
   private final Map<Incarnation, Long> joinedMilliseconds = new HashMap<>();
   private final Map<String, InstanceObserved> underWay = new HashMap<>();
   private final Set<Incarnation> removals = new HashSet<>();
   private volatile InstanceListing newest = InstanceListing.getDefaultInstance();
-  private volatile boolean running;
+  private final RepeatingTask polls;
 
   /** Creates an observer that has not yet begun. */
   public ListObserver(
@@ -74,21 +74,19 @@
     this.agreed = agreed;
     this.rank = rank;
     this.appender = appender;
-    this.timers = timers;
     this.self = self;
-    this.interval = interval;
     this.metrics = metrics;
+    this.polls = new RepeatingTask("instance_list", timers, interval, this::poll, metrics);
   }
 
   /** Begins to poll. */
   public void start() {
-    running = true;
-    poll();
+    polls.start();
   }
 
   /** Ends polling. */
   public void stop() {
-    running = false;
+    polls.stop();
   }
 
   /** Returns the newest listing; empty before the first. */
@@ -114,16 +112,8 @@
     }
   }
 
-  private void poll() {
-    if (!running) {
-      return;
-    }
-    list.list()
-        .thenAccept(
-            answer -> {
-              take(answer);
-              timers.schedule(interval, this::poll);
-            });
+  private CompletableFuture<?> poll() {
+    return list.list().thenAccept(this::take);
   }
 
   private void take(Either<PlatformError, InstanceListing> answer) {
--- a/engine/src/main/java/org/flamingochute/engine/peer/Heartbeat.java
+++ b/engine/src/main/java/org/flamingochute/engine/peer/Heartbeat.java
@@ -1,11 +1,13 @@
 package org.flamingochute.engine.peer;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.flamingochute.decision.agreement.AgreedView;
 import org.flamingochute.decision.identity.Incarnation;
 import org.flamingochute.engine.log.FreshnessMonitor;
+import org.flamingochute.engine.task.RepeatingTask;
 import org.flamingochute.platform.Timers;
 import org.flamingochute.schema.EndpointUsage;
 import org.flamingochute.schema.Gossip;
@@ -39,9 +41,9 @@
   private final Incarnation self;
   private final Duration interval;
   private final Runnable afterBeat;
+  private final RepeatingTask beats;
   private final DeltaSelector<TeamUsage> teams = new DeltaSelector<>();
   private final DeltaSelector<EndpointUsage> endpoints = new DeltaSelector<>();
-  private volatile boolean running;
 
   /**
    * Creates a heartbeat that has not yet begun.
@@ -57,7 +59,8 @@
       Timers timers,
       Incarnation self,
       Duration interval,
-      Runnable afterBeat) {
+      Runnable afterBeat,
+      MetricRegistry metrics) {
     this.agreed = agreed;
     this.freshness = freshness;
     this.link = link;
@@ -67,29 +70,25 @@
     this.self = self;
     this.interval = interval;
     this.afterBeat = afterBeat;
+    this.beats = RepeatingTask.of("heartbeat", timers, interval, this::beat, metrics);
   }
 
   /** Begins to send. */
   void start() {
-    running = true;
-    beat();
+    beats.start();
   }
 
   /** Ends sending. */
   void stop() {
-    running = false;
+    beats.stop();
   }
 
   private void beat() {
-    if (!running) {
-      return;
-    }
     List<Incarnation> others = others();
     if (!others.isEmpty() && agreed.isMember(self)) {
       send(others);
     }
     afterBeat.run();
-    timers.schedule(interval, this::beat);
   }
 
   private List<Incarnation> others() {
--- a/engine/src/main/java/org/flamingochute/engine/peer/PeerExchange.java
+++ b/engine/src/main/java/org/flamingochute/engine/peer/PeerExchange.java
@@ -36,7 +36,8 @@
             parts.timers(),
             parts.self(),
             parts.interval(),
-            () -> beat(afterBeat));
+            () -> beat(afterBeat),
+            parts.metrics());
   }
 
   /** Begins to listen and to send. */
--- a/engine/src/main/java/org/flamingochute/engine/peer/TokenBroker.java
+++ b/engine/src/main/java/org/flamingochute/engine/peer/TokenBroker.java
@@ -51,6 +51,7 @@
   private final Timers timers;
   private final Incarnation self;
   private final MetricRegistry metrics;
+  private final OpenAsks openAsks = new OpenAsks();
   private final Map<TeamId, Asked> asked = new HashMap<>();
   private volatile ToIntFunction<TeamId> waiting = team -> 0;
   private volatile Runnable tokensCame = () -> {};
@@ -96,6 +97,7 @@
   @Override
   public void giveBack(TeamId team) {
     ledger.giveBack(team);
+    openAsks.takeOldest(team, timers.monotonicMilliseconds()).ifPresent(ask -> give(team, ask));
   }
 
   @Override
@@ -142,10 +144,16 @@
     if (request.getEpoch() != ledger.epoch(team)) {
       return;
     }
-    int given = policy.give(own(team), request.getWanted());
+    long until = timers.monotonicMilliseconds() + ASK_MILLISECONDS;
+    give(team, new OpenAsks.Ask(peer, request.getWanted(), until));
+  }
+
+  private void give(TeamId team, OpenAsks.Ask ask) {
+    int given = policy.give(own(team), ask.wanted());
     if (given > 0) {
-      transfer(team, peer, given);
+      transfer(team, ask.peer(), given);
     }
+    openAsks.remember(team, ask.peer(), ask.wanted() - given, ask.untilMilliseconds());
   }
 
   /** Credits a transfer and acknowledges it. */
@@ -201,18 +209,22 @@
   public boolean hasHeir() {
     for (MemberImage member : agreed.members()) {
       Incarnation peer = new Incarnation(member.getJoined().getIncarnation());
-      if (!peer.equals(self) && freshness.isHeard(peer)) {
+      if (canInherit(peer)) {
         return true;
       }
     }
     return false;
   }
 
+  private boolean canInherit(Incarnation peer) {
+    return !peer.equals(self) && freshness.isHeard(peer) && !usage.isStopping(peer);
+  }
+
   private Optional<Incarnation> heir(TeamId team) {
     Optional<Incarnation> first = Optional.empty();
     for (MemberImage member : agreed.members()) {
       Incarnation peer = new Incarnation(member.getJoined().getIncarnation());
-      if (peer.equals(self) || !freshness.isHeard(peer)) {
+      if (!canInherit(peer)) {
         continue;
       }
       if (usage.isWaiting(peer, team)) {
--- a/engine/src/main/java/org/flamingochute/engine/request/AttemptRunner.java
+++ b/engine/src/main/java/org/flamingochute/engine/request/AttemptRunner.java
@@ -42,8 +42,13 @@
  */
 final class AttemptRunner {
 
-  /** Attempts of one request at most. */
-  private static final int MAXIMUM_ATTEMPTS = 5;
+  /** Attempts of one request at most that fail, and that a busy endpoint refuses. */
+  private static final int MAXIMUM_FAILED_ATTEMPTS = 5;
+
+  private static final int MAXIMUM_BUSY_ATTEMPTS = 40;
+
+  /** Doublings of the delay before a retry at most. */
+  private static final int MAXIMUM_DOUBLINGS = 4;
 
   /** Middle of the delay before the second attempt, in milliseconds; it doubles with each one. */
   private static final long RETRY_MILLISECONDS = 10;
@@ -185,13 +190,16 @@
   private void takeNotRun(
       Dispatch dispatch, RequestDispatcher dispatcher, EndpointOutcome.NotRun notRun) {
     tokens.giveBack(dispatch.ticket().team());
-    if (!notRun.busy()) {
+    if (notRun.busy()) {
+      endpoints.noteBusy(dispatch.endpoint(), timers.monotonicMilliseconds());
+    } else {
       noteFailure(dispatch);
+      dispatch.ticket().noteRefusal(dispatch.endpoint());
+      dispatch.ticket().countFailure();
     }
     metrics.counter("requests.attempts_not_run").inc();
     logger.atFine().log(
         "event=attempt_not_run endpoint=%s detail=\"%s\"", dispatch.endpoint(), notRun.detail());
-    dispatch.ticket().noteRefusal(dispatch.endpoint());
     retryOrRefuse(dispatch, dispatcher, notRun.detail());
   }
 
@@ -211,6 +219,7 @@
       return;
     }
     ticket.noteMaybeRun();
+    ticket.countFailure();
     ticket.noteRefusal(dispatch.endpoint());
     retryOrRefuse(dispatch, dispatcher, unknown.detail());
   }
@@ -228,7 +237,9 @@
   private void retryOrRefuse(Dispatch dispatch, RequestDispatcher dispatcher, String detail) {
     RequestTicket ticket = dispatch.ticket();
     long delay = retryDelay(ticket.attempts());
-    if (ticket.attempts() >= MAXIMUM_ATTEMPTS || delay >= left(ticket)) {
+    boolean isSpent =
+        ticket.failures() >= MAXIMUM_FAILED_ATTEMPTS || ticket.attempts() >= MAXIMUM_BUSY_ATTEMPTS;
+    if (isSpent || delay >= left(ticket)) {
       ticket.refuse(ErrorReport.of(ErrorCode.NO_ENDPOINT, dispatch.lane().service(), detail));
       return;
     }
@@ -236,7 +247,7 @@
   }
 
   private synchronized long retryDelay(int attempt) {
-    long middle = RETRY_MILLISECONDS << (attempt - 1);
+    long middle = RETRY_MILLISECONDS << Math.min(attempt - 1, MAXIMUM_DOUBLINGS);
     return middle / 2 + random.nextLong(middle);
   }
 
--- a/engine/src/main/java/org/flamingochute/engine/request/EndpointTable.java
+++ b/engine/src/main/java/org/flamingochute/engine/request/EndpointTable.java
@@ -27,8 +27,12 @@
  */
 public final class EndpointTable {
 
+  /** Time for which an endpoint that said that it is busy gets nothing, in milliseconds. */
+  private static final long BUSY_MILLISECONDS = 20;
+
   private final AgreedView agreed;
   private final EndpointChooser chooser;
+  private final Map<InstanceId, Long> busyUntilMilliseconds = new HashMap<>();
   private final Map<InstanceId, Integer> ownInFlight = new HashMap<>();
   private final Map<Incarnation, Map<InstanceId, Integer>> remoteInFlight = new HashMap<>();
 
@@ -86,7 +90,7 @@
     }
     List<InstanceImage> endpoints = endpoints(service);
     synchronized (this) {
-      Optional<InstanceId> chosen = chooser.choose(loads(endpoints, section, avoided), now);
+      Optional<InstanceId> chosen = chooser.choose(loads(endpoints, section, avoided, now), now);
       if (chosen.isEmpty()) {
         return Optional.empty();
       }
@@ -95,6 +99,11 @@
     }
   }
 
+  /** Notes that an endpoint refused a request because it is busy: the counts here are too low. */
+  synchronized void noteBusy(InstanceId endpoint, long now) {
+    busyUntilMilliseconds.put(endpoint, now + BUSY_MILLISECONDS);
+  }
+
   /** Gives back a place. */
   synchronized void release(InstanceId endpoint) {
     ownInFlight.computeIfPresent(endpoint, (key, count) -> count > 1 ? count - 1 : null);
@@ -125,11 +134,11 @@
   }
 
   private List<EndpointLoad> loads(
-      List<InstanceImage> endpoints, ServiceSection section, Set<InstanceId> avoided) {
+      List<InstanceImage> endpoints, ServiceSection section, Set<InstanceId> avoided, long now) {
     List<EndpointLoad> loads = new ArrayList<>();
     for (InstanceImage image : endpoints) {
       InstanceId endpoint = new InstanceId(image.getObserved().getInstance());
-      if (avoided.contains(endpoint)) {
+      if (avoided.contains(endpoint) || isBusy(endpoint, now)) {
         continue;
       }
       loads.add(
@@ -143,6 +152,18 @@
     return loads;
   }
 
+  private boolean isBusy(InstanceId endpoint, long now) {
+    Long until = busyUntilMilliseconds.get(endpoint);
+    if (until == null) {
+      return false;
+    }
+    if (until <= now) {
+      busyUntilMilliseconds.remove(endpoint);
+      return false;
+    }
+    return true;
+  }
+
   private int remote(InstanceId endpoint) {
     int total = 0;
     for (Map<InstanceId, Integer> ofPeer : remoteInFlight.values()) {
--- a/engine/src/main/java/org/flamingochute/engine/request/RequestTicket.java
+++ b/engine/src/main/java/org/flamingochute/engine/request/RequestTicket.java
@@ -24,6 +24,7 @@
   private final CompletableFuture<CallerOutcome> outcome = new CompletableFuture<>();
   private final Set<InstanceId> refusingEndpoints = new HashSet<>();
   private int attempts;
+  private int failures;
   private boolean maybeRun;
 
   /**
@@ -63,6 +64,15 @@
     return attempts;
   }
 
+  /** Counts an attempt that failed for another reason than a busy endpoint. */
+  synchronized void countFailure() {
+    failures++;
+  }
+
+  synchronized int failures() {
+    return failures;
+  }
+
   synchronized void noteMaybeRun() {
     maybeRun = true;
   }
--- a/engine/src/main/java/org/flamingochute/engine/job/SerialTask.java
+++ b/engine/src/main/java/org/flamingochute/engine/task/SerialTask.java
@@ -1,4 +1,4 @@
-package org.flamingochute.engine.job;
+package org.flamingochute.engine.task;
 
 /**
  * Runs a task on one thread at a time, without a lock held while it runs.
--- a/engine/src/test/java/org/flamingochute/engine/RequestPromisesTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/RequestPromisesTest.java
@@ -139,14 +139,15 @@
   @Test
   void requestThatWaitsWhenItsKeyIsWithdrawnIsNotRun() {
     Cluster cluster = Cluster.started(1);
-    cluster.endpoints.setServiceMilliseconds(1_000);
+    cluster.endpoints.setServiceMilliseconds(300);
     for (int i = 0; i < 6; i++) {
       cluster.send(0, Cluster.RED_KEY, "/red/fill");
     }
     CompletableFuture<CallerOutcome> waiting = cluster.send(0, Cluster.RED_KEY, "/red/late");
     cluster.patch(0, "key red-1");
     cluster.clock.advance(LONG_ENOUGH_MILLISECONDS);
-    assertThat(outcome(waiting), instanceOf(CallerOutcome.NotRun.class));
+    CallerOutcome.NotRun refused = (CallerOutcome.NotRun) outcome(waiting);
+    assertThat(refused.report().code(), is(ErrorCode.KEY_UNKNOWN));
     assertThat(cluster.endpoints.executions("/red/late"), is(0L));
   }
 
