Test the ledger's narrow cases one by one

Cause: two mutants lived through the random run: transfers forgotten before the epoch opens, and undecided tokens credited after an image.

--- /dev/null
+++ b/decision/src/test/java/org/flamingochute/decision/escrow/EscrowLedgerTest.java
@@ -0,0 +1,265 @@
+package org.flamingochute.decision.escrow;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.flamingochute.decision.agreement.AgreedState;
+import org.flamingochute.decision.agreement.AgreementListener;
+import org.flamingochute.decision.agreement.LogFixture;
+import org.flamingochute.decision.fleet.FleetFixture;
+import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.decision.identity.TeamId;
+import org.flamingochute.schema.HoldingsStated;
+import org.flamingochute.schema.TeamHolding;
+import org.flamingochute.schema.TokenTransfer;
+import org.flamingochute.schema.TokenTransferAcknowledged;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Two ledgers over one fold; the team has a cap of 10, so each begins with 5 tokens. */
+class EscrowLedgerTest {
+
+  private static final TeamId SHOP = new TeamId("shop");
+  private static final Incarnation A = new Incarnation("a");
+  private static final Incarnation B = new Incarnation("b");
+  private static final int SHARDS = 4;
+
+  private final LogFixture log = new LogFixture();
+  private EscrowLedger first;
+  private EscrowLedger second;
+
+  @BeforeEach
+  void join() {
+    first = follow(A);
+    second = follow(B);
+    log.append(LogFixture.join("a"));
+    log.append(LogFixture.join("b"));
+    log.append(LogFixture.firstPatch());
+  }
+
+  private EscrowLedger follow(Incarnation incarnation) {
+    EscrowLedger ledger = new EscrowLedger(incarnation, SHARDS, log.state);
+    log.state.addListener(ledger);
+    return ledger;
+  }
+
+  private void stateAll() {
+    for (EscrowLedger ledger : List.of(first, second)) {
+      Optional<HoldingsStated> due = ledger.takeStatement();
+      due.ifPresent(statement -> log.append(LogFixture.statement(statement)));
+    }
+  }
+
+  private void setCap(int cap) {
+    log.patch(FleetFixture.set("team", "shop", "cap", String.valueOf(cap)));
+  }
+
+  private static void take(EscrowLedger ledger, int count) {
+    for (int i = 0; i < count; i++) {
+      assertThat(ledger.tryTake(SHOP), equalTo(true));
+    }
+  }
+
+  private TokenTransfer transfer(int tokens) {
+    return first.debitForTransfer(SHOP, tokens, B).get().transfer();
+  }
+
+  @Test
+  void transferIsCreditedOnceInAnyOrder() {
+    TokenTransfer one = transfer(1);
+    TokenTransfer two = transfer(3);
+    second.receive(A, two);
+    second.receive(A, one);
+    second.receive(A, two);
+    second.receive(A, one);
+    assertThat(first.held(SHOP), equalTo(1));
+    assertThat(second.held(SHOP), equalTo(9));
+    assertThat(first.unacknowledged(), hasSize(2));
+    first.acknowledged(B, TokenTransferAcknowledged.newBuilder().setSequence(2).build());
+    assertThat(first.unacknowledged().get(0).transfer(), equalTo(one));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "0, shop, 1, 1, ",
+    "-1, shop, 1, 1, ",
+    "1, shop, 1, 0, ",
+    "1, shop, 1, -4, ",
+    "1, '', 1, 1, ",
+    "1, shop, 99, 1, ",
+    "1, shop, 1, 1, false",
+  })
+  void transferThatDoesNotFitIsNotCredited(
+      long sequence, String team, long epoch, int tokens, Boolean credited) {
+    TokenTransfer transfer =
+        TokenTransfer.newBuilder()
+            .setSequence(sequence)
+            .setTeam(team)
+            .setEpoch(epoch)
+            .setTokens(tokens)
+            .build();
+    Optional<Boolean> answer =
+        second.receive(A, transfer).map(TokenTransferAcknowledged::getCredited);
+    assertThat(answer, equalTo(Optional.ofNullable(credited)));
+    assertThat(second.held(SHOP), equalTo(5));
+  }
+
+  @Test
+  void repeatedTransferOfLostMemberIsNotCreditedWhileItIsForgotten() {
+    TokenTransfer transfer = transfer(2);
+    second.receive(A, transfer);
+    log.state.addListener(
+        new AgreementListener() {
+          @Override
+          public void memberRemoved(Incarnation incarnation) {
+            second.receive(A, transfer);
+          }
+        });
+    log.append(LogFixture.gone("a"));
+    assertThat(second.held(SHOP), equalTo(7));
+  }
+
+  @Test
+  void lostMembersTokensComeBackAfterTheHoldBack() {
+    take(first, 2);
+    log.append(LogFixture.gone("a"));
+    assertThat(first.tryTake(SHOP), equalTo(false));
+    stateAll();
+    assertThat(second.held(SHOP), equalTo(5));
+    log.advance(35_000);
+    log.append(LogFixture.tick());
+    assertThat(second.held(SHOP), equalTo(10));
+  }
+
+  @Test
+  void memberThatLeavesGivesItsTokensToTheOthersAtOnce() {
+    first.debitForTransfer(SHOP, 5, B);
+    log.append(LogFixture.leave("a"));
+    stateAll();
+    assertThat(second.held(SHOP), equalTo(10));
+  }
+
+  @Test
+  void raisedCapIsMintedAtOnce() {
+    setCap(13);
+    assertThat(first.held(SHOP), equalTo(7));
+    assertThat(second.held(SHOP), equalTo(6));
+  }
+
+  @Test
+  void loweredCapStartsNothingUntilWhatRunsFitsIt() {
+    take(first, 4);
+    take(second, 2);
+    setCap(5);
+    assertThat(second.tryTake(SHOP), equalTo(false));
+    stateAll();
+    assertThat(second.tryTake(SHOP), equalTo(false));
+    first.giveBack(SHOP);
+    first.giveBack(SHOP);
+    stateAll();
+    assertThat(first.held(SHOP) + second.held(SHOP), equalTo(5));
+    assertThat(first.free(SHOP) + second.free(SHOP), equalTo(1));
+  }
+
+  @Test
+  void loweredCapThatIsRaisedAgainLosesNothing() {
+    take(first, 4);
+    setCap(1);
+    stateAll();
+    setCap(10);
+    log.append(LogFixture.tick());
+    assertThat(first.held(SHOP) + second.held(SHOP), equalTo(10));
+  }
+
+  @Test
+  void removedTeamThatReturnsCountsWhatStillRuns() {
+    take(first, 3);
+    log.patch(FleetFixture.remove("team", "shop", ""), FleetFixture.remove("key", "shop-1", ""));
+    stateAll();
+    log.patch(
+        FleetFixture.set("team", "shop", "share", "1"),
+        FleetFixture.set("team", "shop", "cap", "4"));
+    stateAll();
+    assertThat(first.held(SHOP) + second.held(SHOP), equalTo(4));
+    assertThat(first.free(SHOP) + second.free(SHOP), equalTo(1));
+  }
+
+  @Test
+  void tokenOfAttemptFollowsTheFold() {
+    log.append(LogFixture.observe(LogFixture.instance("w1", "prints", "rack")));
+    log.append(LogFixture.placer("prints", "a", 0));
+    log.append(LogFixture.submit(LogFixture.job("j", true)));
+    assertThat(first.debitForAttempt(SHOP), equalTo(OptionalLong.of(first.epoch(SHOP))));
+    assertThat(first.debitForAttempt(SHOP).isPresent(), equalTo(true));
+    assertThat(first.free(SHOP), equalTo(3));
+    log.append(log.start("j", 1, "w1", "a", 1));
+    log.append(log.start("j", 1, "w1", "a", 1));
+    assertThat(first.held(SHOP), equalTo(4));
+    assertThat(first.free(SHOP), equalTo(4));
+  }
+
+  @Test
+  void undecidedTokenIsNotCreditedAfterAnImage() {
+    AgreedState lagging = AgreedState.empty();
+    lagging.replaceBy(log.state.image());
+    EscrowLedger ledger = new EscrowLedger(A, SHARDS, lagging);
+    lagging.addListener(ledger);
+    ledger.tokensMinted(SHOP, ledger.epoch(SHOP), Map.of(A, 5));
+    ledger.debitForAttempt(SHOP);
+    log.append(LogFixture.gone("b"));
+    lagging.replaceBy(log.state.image());
+    assertThat(ledger.held(SHOP), equalTo(4));
+    List<Integer> stated =
+        ledger.takeStatement().get().getHoldingsList().stream()
+            .filter(holding -> holding.getTeam().equals(SHOP.value()))
+            .map(TeamHolding::getTokens)
+            .toList();
+    assertThat(stated, equalTo(List.of(4)));
+  }
+
+  @Test
+  void threadsNeverHoldMoreThanTheCap() throws InterruptedException {
+    AtomicInteger running = new AtomicInteger();
+    AtomicInteger largest = new AtomicInteger();
+    List<Thread> threads = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      threads.add(new Thread(() -> work(first, A, second, B, running, largest)));
+      threads.add(new Thread(() -> work(second, B, first, A, running, largest)));
+    }
+    threads.forEach(Thread::start);
+    for (Thread thread : threads) {
+      thread.join();
+    }
+    assertThat(largest.get(), lessThanOrEqualTo(10));
+    assertThat(first.held(SHOP) + second.held(SHOP), equalTo(10));
+  }
+
+  private static void work(
+      EscrowLedger mine,
+      Incarnation self,
+      EscrowLedger other,
+      Incarnation peer,
+      AtomicInteger running,
+      AtomicInteger largest) {
+    for (int i = 0; i < 2000; i++) {
+      if (mine.tryTake(SHOP)) {
+        largest.accumulateAndGet(running.incrementAndGet(), Math::max);
+        running.decrementAndGet();
+        mine.giveBack(SHOP);
+      }
+      mine.debitForTransfer(SHOP, 1, peer)
+          .flatMap(outgoing -> other.receive(self, outgoing.transfer()))
+          .ifPresent(answer -> mine.acknowledged(peer, answer));
+    }
+  }
+}
