--- a/decision/src/main/java/org/flamingochute/decision/settings/SettingKey.java
+++ b/decision/src/main/java/org/flamingochute/decision/settings/SettingKey.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.Descriptors.FieldDescriptor;
 import io.vavr.control.Either;
+import java.math.BigInteger;
 import java.util.regex.Pattern;
 import org.flamingochute.decision.error.ErrorCode;
 import org.flamingochute.decision.error.ErrorReport;
@@ -17,7 +18,7 @@
  */
 final class SettingKey {
 
-  private static final Pattern WHOLE_NUMBER = Pattern.compile("-?[0-9]{1,18}");
+  private static final Pattern WHOLE_NUMBER = Pattern.compile("-?[0-9]+");
 
   private final FieldDescriptor field;
   private final SettingRule rule;
@@ -77,8 +78,11 @@
     if (!WHOLE_NUMBER.matcher(text).matches()) {
       return wrongType(source, section, text);
     }
-    long number = Long.parseLong(text);
-    if (number < minimum() || number > maximum()) {
+    BigInteger number = new BigInteger(text);
+    boolean isInRange =
+        number.compareTo(BigInteger.valueOf(minimum())) >= 0
+            && number.compareTo(BigInteger.valueOf(maximum())) <= 0;
+    if (!isInRange) {
       return Either.left(
           ErrorReport.of(
               ErrorCode.SETTINGS_OUT_OF_RANGE,
@@ -91,9 +95,9 @@
               rule.getUnit()));
     }
     if (field.getJavaType() == FieldDescriptor.JavaType.INT) {
-      return Either.right((int) number);
+      return Either.right(number.intValueExact());
     }
-    return Either.right(number);
+    return Either.right(number.longValueExact());
   }
 
   /** Returns the smallest number that is allowed. */
