--- a/decision/src/main/java/org/flamingochute/decision/agreement/RecordFolder.java
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/RecordFolder.java
@@ -8,7 +8,6 @@
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.schema.FleetDescription;
 import org.flamingochute.schema.FleetPatch;
-import org.flamingochute.schema.FleetSection;
 import org.flamingochute.schema.HoldingsStated;
 import org.flamingochute.schema.IdempotencyClaimed;
 import org.flamingochute.schema.IdempotencySettled;
@@ -55,7 +54,7 @@
           memberRemoved(
               record.getMemberGone().getIncarnation(),
               position,
-              position.after(holdBackMilliseconds()));
+              position.after(tables.holdBack().milliseconds(position)));
       case HOLDINGS_STATED -> holdingsStated(record.getHoldingsStated(), position);
       case IDEMPOTENCY_CLAIMED -> claimed(record.getIdempotencyClaimed(), position);
       case IDEMPOTENCY_SETTLED -> settled(record.getIdempotencySettled(), position);
@@ -97,6 +96,7 @@
   private void replaceDescription(
       FleetDescription before, FleetDescription after, FoldPosition position) {
     tables.setDescription(after);
+    tables.holdBack().descriptionChanged(after, position);
     listener.descriptionChanged(before, after);
     tables.escrows().descriptionChanged(after, position);
     tables.waves().descriptionChanged(before, after);
@@ -119,12 +119,6 @@
     return result;
   }
 
-  /** Returns how long work of a lost member may still run, in milliseconds. */
-  private long holdBackMilliseconds() {
-    FleetSection fleet = tables.description().getFleet();
-    return fleet.getMaximumFreshnessMilliseconds() + fleet.getMaximumRequestMilliseconds();
-  }
-
   private FoldResult memberRemoved(String name, FoldPosition position, long notBefore) {
     Optional<FoldResult> invalid =
         new FieldCheck(position).identifier("incarnation", name).refusal();
--- a/decision/src/main/java/org/flamingochute/decision/agreement/StateTables.java
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/StateTables.java
@@ -14,6 +14,7 @@
   private final PlacerTable placers = new PlacerTable();
   private final WaveTable waves = new WaveTable();
   private final RecentRecords recentRecords = new RecentRecords();
+  private final HoldBack holdBack = new HoldBack();
   private final EscrowTable escrows;
   private volatile FleetDescription description = FleetDescription.getDefaultInstance();
 
@@ -61,6 +62,10 @@
     return escrows;
   }
 
+  HoldBack holdBack() {
+    return holdBack;
+  }
+
   RecentRecords recentRecords() {
     return recentRecords;
   }
@@ -85,7 +90,8 @@
         .addAllInstances(instances.image())
         .addAllPlacers(placers.image())
         .addAllWaves(waves.image())
-        .addAllRecentRecords(recentRecords.image());
+        .addAllRecentRecords(recentRecords.image())
+        .setHoldBack(holdBack.image());
   }
 
   /** Replaces all tables by the content of an image. */
@@ -100,5 +106,6 @@
     placers.load(image.getPlacersList());
     waves.load(image.getWavesList());
     recentRecords.load(image.getRecentRecordsList());
+    holdBack.load(image.getDescription(), image.getHoldBack());
   }
 }
--- a/decision/src/test/java/org/flamingochute/decision/escrow/EscrowLedgerTest.java
+++ b/decision/src/test/java/org/flamingochute/decision/escrow/EscrowLedgerTest.java
@@ -141,6 +141,31 @@
     assertThat(second.held(SHOP), equalTo(10));
   }
 
+  @Test
+  void holdBackCoversRequestsFromBeforeTheDeadlineWasLowered() {
+    take(first, 2);
+    log.patch(FleetFixture.set("fleet", "", "maximum_request_milliseconds", "100"));
+    log.append(LogFixture.gone("a"));
+    stateAll();
+    log.advance(30_000);
+    log.append(LogFixture.tick());
+    assertThat(second.held(SHOP), equalTo(5));
+    log.advance(5_000);
+    log.append(LogFixture.tick());
+    assertThat(second.held(SHOP), equalTo(10));
+  }
+
+  @Test
+  void holdBackIsShorterOnceEarlierRequestsHaveEnded() {
+    log.patch(FleetFixture.set("fleet", "", "maximum_request_milliseconds", "100"));
+    log.advance(35_100);
+    log.append(LogFixture.gone("a"));
+    stateAll();
+    log.advance(5_100);
+    log.append(LogFixture.tick());
+    assertThat(second.held(SHOP), equalTo(10));
+  }
+
   @Test
   void memberThatLeavesGivesItsTokensToTheOthersAtOnce() {
     first.debitForTransfer(SHOP, 5, B);
