Test the appender, freshness, late starts and stale placers; send only the current attempt

Reading showed that a placer which wakes late could send an attempt that had ended meanwhile. Conclusion: an attempt is sent only while it is the running one of its job.

--- a/engine/src/main/java/org/flamingochute/engine/job/AttemptStarter.java
+++ b/engine/src/main/java/org/flamingochute/engine/job/AttemptStarter.java
@@ -25,6 +25,7 @@
 import org.flamingochute.schema.InstanceImage;
 import org.flamingochute.schema.JobAttemptStarted;
 import org.flamingochute.schema.JobImage;
+import org.flamingochute.schema.JobPhase;
 import org.flamingochute.schema.LogRecord;
 import org.flamingochute.schema.TaskStart;
 import org.flamingochute.schema.TaskStatus;
@@ -141,7 +142,11 @@
     Optional<JobImage> job = agreed.job(attempt.job());
     Optional<InstanceImage> worker = agreed.instance(new InstanceId(started.getWorker()));
     Optional<ErrorReport> closed = gate.refusalOfStart();
-    if (job.isEmpty() || worker.isEmpty()) {
+    boolean isCurrent =
+        job.isPresent()
+            && job.get().getPhase() == JobPhase.JOB_RUNNING
+            && AttemptId.newest(job.get()).equals(attempt);
+    if (!isCurrent || worker.isEmpty()) {
       endSending(attempt);
       return;
     }
--- a/engine/src/test/java/org/flamingochute/engine/JobPromisesTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/JobPromisesTest.java
@@ -157,6 +157,48 @@
     }
   }
 
+  @Test
+  void startThatArrivesAfterTakeoverDoesNotRunAgain() {
+    Cluster cluster = Cluster.started(3);
+    cluster.workers.delayStarts(4_500);
+    CompletableFuture<Either<ErrorReport, JobImage>> future = submit(cluster, 0, false, "k");
+    cluster.clock.advance(500);
+    final JobId job = acknowledged(future);
+    killPlacer(cluster);
+    cluster.workers.delayStarts(0);
+    cluster.clock.advance(30_000);
+    assertThat(cluster.workers.begun(job.value()), is(1L));
+  }
+
+  @Test
+  void placerThatLostItsEpochWhileItsRecordsWereUnderWaySendsNothing() {
+    Cluster cluster = Cluster.started(3);
+    int placer = placer(cluster);
+    int other = (placer + 1) % 3;
+    cluster.entry(placer).log.setCut(true);
+    cluster.clock.advance(500);
+    List<CompletableFuture<Either<ErrorReport, JobImage>>> futures = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      futures.add(submit(cluster, other, false, "key-" + i));
+    }
+    cluster.clock.advance(800);
+    String address = cluster.entry(placer).address();
+    for (int i = 0; i < 3; i++) {
+      cluster.network.cut(address, cluster.entry(i).address());
+    }
+    cluster.clock.advance(8_000);
+    cluster.entry(placer).log.setCut(false);
+    cluster.network.mend();
+    cluster.clock.advance(30_000);
+    for (CompletableFuture<Either<ErrorReport, JobImage>> future : futures) {
+      JobId job = acknowledged(future);
+      assertThat(phase(cluster, other, job), is(JobPhase.JOB_SUCCEEDED));
+      assertThat(cluster.workers.begun(job.value()), is(1L));
+    }
+    long refused = cluster.entry(placer).metrics.counter("jobs.attempts_refused").getCount();
+    assertThat(refused, greaterThan(0L));
+  }
+
   @Test
   void runningJobsStayWithinTheCap() {
     Cluster cluster = Cluster.started(3, "team red cap 3");
--- a/engine/src/test/java/org/flamingochute/engine/PlannedStopTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/PlannedStopTest.java
@@ -2,6 +2,8 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
@@ -99,30 +101,18 @@
   @Test
   void runnerWithWorkInFlightIsNotDrained() {
     Cluster cluster = Cluster.started(2);
-    cluster.endpoints.setServiceMilliseconds(1_900);
-    cluster.patch(0, "wave may pools proofs");
-    for (int i = 0; i < 100; i++) {
-      cluster.send(i % 2, Cluster.RED_KEY, "/red/x");
-      cluster.clock.advance(100);
-      for (String drained : performed(cluster, PoolAction.POOL_DRAIN)) {
-        long begunLately =
-            cluster.endpoints.executions().stream()
-                .filter(execution -> execution.address().equals(drained))
-                .filter(
-                    execution ->
-                        execution.beganMilliseconds() > cluster.clock.monotonicMilliseconds() - 100)
-                .count();
-        boolean stopped =
-            cluster
-                .entry(0)
-                .node
-                .agreed()
-                .instance(new InstanceId(drained))
-                .map(InstanceImage::hasStop)
-                .orElse(false);
-        assertThat(drained, stopped && begunLately > 0, is(false));
-      }
+    cluster.endpoints.setServiceMilliseconds(6_000);
+    List<Integer> cut = new ArrayList<>();
+    cluster.platform.onOperation(
+        operation -> cut.add(cluster.endpoints.runningAt(operation.getInstance())));
+    for (int i = 0; i < 6; i++) {
+      cluster.send(i % 2, Cluster.RED_KEY, "/red/x", false, Optional.empty(), 20_000);
     }
+    cluster.clock.advance(300);
+    cluster.patch(0, "wave may pools proofs");
+    cluster.clock.advance(60_000);
+    assertThat(performed(cluster, PoolAction.POOL_REBOOT).size(), is(3));
+    assertThat(cut, everyItem(is(0)));
   }
 
   @Test
@@ -182,6 +172,21 @@
     }
     cluster.clock.advance(900);
     assertThat(cluster.endpoints.mostRunning("red"), is(6));
+    assertThat(cluster.entry(0).metrics.counter("tokens.sent").getCount(), greaterThan(0L));
+  }
+
+  @Test
+  void lastEntryFinishesItsWorkBeforeItLeaves() {
+    Cluster cluster = Cluster.started(1);
+    cluster.endpoints.setServiceMilliseconds(1_500);
+    CompletableFuture<CallerOutcome> future = cluster.send(0, Cluster.RED_KEY, "/red/x");
+    cluster.clock.advance(100);
+    CompletableFuture<Void> stopped = cluster.entry(0).node.stop();
+    cluster.clock.advance(1_000);
+    assertThat(stopped.isDone(), is(false));
+    cluster.clock.advance(2_000);
+    assertThat(stopped.isDone(), is(true));
+    assertThat(future.join(), instanceOf(CallerOutcome.Answered.class));
   }
 
   @Test
--- a/engine/src/test/java/org/flamingochute/engine/RequestPromisesTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/RequestPromisesTest.java
@@ -220,6 +220,25 @@
     assertThat(cluster.endpoints.executions("/blue/x"), is(0L));
   }
 
+  @Test
+  void requestThatWaitedThroughPauseIsNotStartedAtTheThaw() {
+    Cluster cluster = Cluster.started(3);
+    cluster.endpoints.setServiceMilliseconds(300);
+    for (int i = 0; i < 6; i++) {
+      cluster.send(0, Cluster.RED_KEY, "/red/fill");
+    }
+    cluster.clock.advance(250);
+    CompletableFuture<CallerOutcome> waiting =
+        cluster.send(0, Cluster.RED_KEY, "/red/late", false, Optional.empty(), 20_000);
+    cluster.entry(0).process.freeze();
+    cluster.patch(1, "key red-1");
+    cluster.clock.advance(5_000);
+    cluster.entry(0).process.thaw();
+    cluster.clock.advance(20_000);
+    assertThat(outcome(waiting), instanceOf(CallerOutcome.NotRun.class));
+    assertThat(cluster.endpoints.executions("/red/late"), is(0L));
+  }
+
   @Test
   void queueIsBoundedAndSheddingIsNotRun() {
     Cluster cluster = Cluster.started(1);
--- a/engine/src/test/java/org/flamingochute/engine/fake/Cluster.java
+++ b/engine/src/test/java/org/flamingochute/engine/fake/Cluster.java
@@ -158,6 +158,17 @@
   /** Sends a request. */
   public CompletableFuture<CallerOutcome> send(
       int entry, String key, String path, boolean idempotent, Optional<String> idempotencyKey) {
+    return send(entry, key, path, idempotent, idempotencyKey, TIMEOUT_MILLISECONDS);
+  }
+
+  /** Sends a request whose caller waits for a given time. */
+  public CompletableFuture<CallerOutcome> send(
+      int entry,
+      String key,
+      String path,
+      boolean idempotent,
+      Optional<String> idempotencyKey,
+      long timeoutMilliseconds) {
     return entries
         .get(entry)
         .node
@@ -169,7 +180,7 @@
                 path,
                 List.of(),
                 new byte[0],
-                TIMEOUT_MILLISECONDS,
+                timeoutMilliseconds,
                 idempotent,
                 idempotencyKey.map(IdempotencyKey::new)));
   }
--- a/engine/src/test/java/org/flamingochute/engine/fake/FakeEndpoints.java
+++ b/engine/src/test/java/org/flamingochute/engine/fake/FakeEndpoints.java
@@ -24,6 +24,7 @@
   private final Map<String, Behaviour> behaviours = new HashMap<>();
   private final Map<String, Integer> running = new HashMap<>();
   private final Map<String, Integer> mostRunning = new HashMap<>();
+  private final Map<String, Integer> runningAt = new HashMap<>();
   private long serviceMilliseconds = 20;
 
   /** How an endpoint answers. */
@@ -80,6 +81,11 @@
     return mostRunning.getOrDefault(team, 0);
   }
 
+  /** Returns the requests that run at an endpoint now. */
+  public int runningAt(String address) {
+    return runningAt.getOrDefault(address, 0);
+  }
+
   /** Returns the client of one process. */
   public EndpointClient client(PausableTimers process) {
     return (address, request) -> send(address, request, process);
@@ -132,7 +138,13 @@
         new Execution(address, request.path(), request.requestId(), clock.monotonicMilliseconds()));
     int now = running.merge(team, 1, Integer::sum);
     mostRunning.merge(team, now, Math::max);
-    clock.schedule(Duration.ofMillis(milliseconds), () -> running.merge(team, -1, Integer::sum));
+    runningAt.merge(address, 1, Integer::sum);
+    clock.schedule(
+        Duration.ofMillis(milliseconds),
+        () -> {
+          running.merge(team, -1, Integer::sum);
+          runningAt.merge(address, -1, Integer::sum);
+        });
   }
 
   private static EndpointOutcome answered(EndpointRequest request) {
--- a/engine/src/test/java/org/flamingochute/engine/fake/FakeLog.java
+++ b/engine/src/test/java/org/flamingochute/engine/fake/FakeLog.java
@@ -23,6 +23,7 @@
   private int lostReplies;
   private int repeatedAppends;
   private boolean down;
+  private boolean refusing;
 
   /** Creates an empty log. */
   public FakeLog(VirtualTimers clock) {
@@ -39,6 +40,11 @@
     down = value;
   }
 
+  /** Makes the log refuse appends without storing anything. */
+  public void setRefusing(boolean value) {
+    refusing = value;
+  }
+
   /** Sets the one way latency. */
   public void setLatencyMilliseconds(long value) {
     latencyMilliseconds = value;
@@ -103,6 +109,10 @@
         answer(reply, TIMEOUT, Either.left(new PlatformError.Unknown("timeout")));
         return;
       }
+      if (refusing) {
+        answer(reply, Duration.ZERO, Either.left(new PlatformError.Refused("refused")));
+        return;
+      }
       final long first = records.size();
       store(bytes);
       if (repeatedAppends > 0) {
--- a/engine/src/test/java/org/flamingochute/engine/fake/FakePlatform.java
+++ b/engine/src/test/java/org/flamingochute/engine/fake/FakePlatform.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.flamingochute.platform.InstanceList;
 import org.flamingochute.platform.PlatformError;
 import org.flamingochute.platform.PoolControl;
@@ -23,6 +24,7 @@
   private final VirtualTimers clock;
   private final Map<String, ListedInstance> instances = new LinkedHashMap<>();
   private final List<PoolOperation> operations = new ArrayList<>();
+  private final List<Consumer<PoolOperation>> watchers = new ArrayList<>();
   private final Map<String, Boolean> failing = new HashMap<>();
 
   /** Creates an empty platform. */
@@ -46,6 +48,11 @@
     failing.put(instance, true);
   }
 
+  /** Tells of each pool operation when it is begun. */
+  public void onOperation(Consumer<PoolOperation> watcher) {
+    watchers.add(watcher);
+  }
+
   /** Returns the pool operations that were begun, each once. */
   public List<PoolOperation> operations() {
     return operations;
@@ -68,6 +75,7 @@
     return operation -> {
       if (!operations.contains(operation)) {
         operations.add(operation);
+        watchers.forEach(watcher -> watcher.accept(operation));
       }
       boolean fails = failing.getOrDefault(operation.getInstance(), false);
       PoolOperationStatus status =
--- a/engine/src/test/java/org/flamingochute/engine/fake/FakeWorkers.java
+++ b/engine/src/test/java/org/flamingochute/engine/fake/FakeWorkers.java
@@ -27,6 +27,7 @@
   private final Set<String> refused = new HashSet<>();
   private long runMilliseconds = 1_000;
   private int lostStartReplies;
+  private long startDelayMilliseconds;
 
   /** Creates workers that succeed. */
   public FakeWorkers(VirtualTimers clock) {
@@ -48,6 +49,11 @@
     lostStartReplies = count;
   }
 
+  /** Delays starts on their way to the worker. */
+  public void delayStarts(long milliseconds) {
+    startDelayMilliseconds = milliseconds;
+  }
+
   /** Returns the tasks that were begun. */
   public List<TaskStart> begun() {
     return begun;
@@ -133,6 +139,9 @@
       if (process.isDead()) {
         return new CompletableFuture<>();
       }
+      if (startDelayMilliseconds > 0) {
+        return startLate(workerAddress, start);
+      }
       TaskStatus status = FakeWorkers.this.start(workerAddress, start);
       if (lostStartReplies > 0) {
         lostStartReplies--;
@@ -141,6 +150,18 @@
       return answer(Either.right(status));
     }
 
+    private CompletableFuture<Either<PlatformError, TaskStatus>> startLate(
+        String workerAddress, TaskStart start) {
+      CompletableFuture<Either<PlatformError, TaskStatus>> reply = new CompletableFuture<>();
+      clock.schedule(
+          Duration.ofMillis(startDelayMilliseconds),
+          () -> {
+            TaskStatus status = FakeWorkers.this.start(workerAddress, start);
+            process.runOrHold(() -> reply.complete(Either.right(status)));
+          });
+      return reply;
+    }
+
     @Override
     public CompletableFuture<Either<PlatformError, TaskStatus>> status(
         String workerAddress, String job, int attempt) {
--- /dev/null
+++ b/engine/src/test/java/org/flamingochute/engine/log/LogAppenderTest.java
@@ -0,0 +1,101 @@
+package org.flamingochute.engine.log;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.flamingochute.decision.agreement.AgreedState;
+import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.engine.fake.FakeLog;
+import org.flamingochute.engine.fake.PausableTimers;
+import org.flamingochute.engine.fake.VirtualTimers;
+import org.flamingochute.schema.LogRecord;
+import org.flamingochute.schema.Tick;
+import org.junit.jupiter.api.Named;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** What an appender reports, and what it leaves in the log, under each fault. */
+class LogAppenderTest {
+
+  private static final long TIMEOUT_MILLISECONDS = 5_000;
+
+  private final VirtualTimers clock = new VirtualTimers();
+  private final PausableTimers process = new PausableTimers(clock);
+  private final FakeLog log = new FakeLog(clock);
+  private final AgreedState agreed = AgreedState.empty();
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final LogAppender appender = newAppender();
+
+  private LogAppender newAppender() {
+    Incarnation self = new Incarnation("entry-1-a");
+    FakeLog.View view = log.view(process);
+    FreshnessMonitor freshness = new FreshnessMonitor(agreed, process, self, 3_000);
+    LogFollower follower =
+        new LogFollower(view, agreed, process, freshness, Duration.ofMillis(100), metrics);
+    LogAppender created =
+        new LogAppender(view, follower, process, self, Duration.ofMillis(4), metrics);
+    agreed.addListener(created);
+    follower.addReaction(created);
+    follower.start();
+    return created;
+  }
+
+  private CompletableFuture<AppendOutcome> append() {
+    return appender.append(
+        LogRecord.newBuilder().setTick(Tick.getDefaultInstance()), TIMEOUT_MILLISECONDS);
+  }
+
+  static Stream<Arguments> faults() {
+    return Stream.of(
+        fault("none", log -> {}, "Folded", 1),
+        fault("one reply lost", log -> log.loseReplies(1), "Folded", 1),
+        fault("many replies lost", log -> log.loseReplies(3), "Folded", 1),
+        fault("stored twice", log -> log.repeatAppends(1), "Folded", 2),
+        fault("slow", log -> log.setLatencyMilliseconds(400), "Folded", 1),
+        fault("down", log -> log.setDown(true), "Unknown", 0),
+        fault("refusing", log -> log.setRefusing(true), "NotAppended", 0));
+  }
+
+  private static Arguments fault(String name, Consumer<FakeLog> fault, String outcome, int copies) {
+    return Arguments.of(Named.of(name, fault), outcome, copies);
+  }
+
+  @ParameterizedTest
+  @MethodSource("faults")
+  void outcomeAndCopiesAreAsExpected(Consumer<FakeLog> fault, String outcome, int copies) {
+    fault.accept(log);
+    CompletableFuture<AppendOutcome> future = append();
+    clock.advance(2 * TIMEOUT_MILLISECONDS);
+    assertThat(future.join().getClass().getSimpleName(), is(outcome));
+    assertThat(log.records().size(), is(copies));
+    assertThat(appender.pendingRecords(), is(0));
+  }
+
+  @Test
+  void recordsThatComeTogetherAreOneAppend() {
+    for (int i = 0; i < 100; i++) {
+      append();
+    }
+    clock.advance(1_000);
+    assertThat(log.records().size(), is(100));
+    assertThat(metrics.counter("log.appends").getCount(), is(1L));
+  }
+
+  @Test
+  void withdrawnRecordDoesNotReachTheLogLater() {
+    log.setRefusing(true);
+    CompletableFuture<AppendOutcome> future = append();
+    clock.advance(TIMEOUT_MILLISECONDS + 1_000);
+    log.setRefusing(false);
+    clock.advance(TIMEOUT_MILLISECONDS);
+    assertThat(future.join().getClass().getSimpleName(), is("NotAppended"));
+    assertThat(log.records().size(), is(0));
+  }
+}
