--- a/engine/src/test/java/org/flamingochute/engine/PlannedStopTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/PlannedStopTest.java
@@ -179,7 +179,7 @@
   void lastEntryFinishesItsWorkBeforeItLeaves() {
     Cluster cluster = Cluster.started(1);
     cluster.endpoints.setServiceMilliseconds(1_500);
-    CompletableFuture<CallerOutcome> future = cluster.send(0, Cluster.RED_KEY, "/red/x");
+    final CompletableFuture<CallerOutcome> future = cluster.send(0, Cluster.RED_KEY, "/red/x");
     cluster.clock.advance(100);
     CompletableFuture<Void> stopped = cluster.entry(0).node.stop();
     cluster.clock.advance(1_000);
--- a/engine/src/test/java/org/flamingochute/engine/RequestPromisesTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/RequestPromisesTest.java
@@ -228,7 +228,7 @@
       cluster.send(0, Cluster.RED_KEY, "/red/fill");
     }
     cluster.clock.advance(250);
-    CompletableFuture<CallerOutcome> waiting =
+    final CompletableFuture<CallerOutcome> waiting =
         cluster.send(0, Cluster.RED_KEY, "/red/late", false, Optional.empty(), 20_000);
     cluster.entry(0).process.freeze();
     cluster.patch(1, "key red-1");
--- a/engine/src/test/java/org/flamingochute/engine/log/LogAppenderTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/log/LogAppenderTest.java
@@ -91,7 +91,7 @@
   @Test
   void withdrawnRecordDoesNotReachTheLogLater() {
     log.setRefusing(true);
-    CompletableFuture<AppendOutcome> future = append();
+    final CompletableFuture<AppendOutcome> future = append();
     clock.advance(TIMEOUT_MILLISECONDS + 1_000);
     log.setRefusing(false);
     clock.advance(TIMEOUT_MILLISECONDS);
