--- a/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
+++ b/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
@@ -52,6 +52,7 @@
   STATEMENT_NOT_DUE(1127, "no statement of holdings of %s is due"),
   SNAPSHOT_REFUSED(1128, "snapshot part at offset %s: %s"),
   MEMBER_EXISTS(1129, "incarnation %s has joined before"),
+  PATCH_REPEATED(1130, "patch id %s was used before by another patch"),
   ESCROW_SUSPENDED(1130, "team %s starts nothing until its lower cap is settled"),
 
   // Requests and jobs at an entry: 1200 to 1299.
@@ -95,6 +96,12 @@
   FILE_NOT_WRITABLE(1405, "%s: cannot be written: %s"),
   TOOL_COMMAND_LINE(1406, "command line: %s"),
   REPORT_MALFORMED(1407, "%s: the report cannot be read: %s"),
+  CONTROL_STALE_BASE(1408, "the patch is against version %s, but version %s is in force"),
+  CONTROL_UNREACHABLE(1409, "no answer from entry %s"),
+  CONTROL_UNKNOWN_OUTCOME(1410, "patch %s may or may not have taken effect: %s"),
+  CONTROL_KEY_ID_UNKNOWN(1411, "key \"%s\" is not granted"),
+  CONTROL_KEY_ID_TAKEN(1412, "key \"%s\" is granted already, to team %s"),
+  CONTROL_TEAM_UNKNOWN(1413, "team \"%s\" is not part of the description in force"),
   ;
 
   private final int number;
