Ask callers to close their connections before an entry stops

Cause: a trial with six callers sending without a pause saw six connections reset at a graceful stop, so six callers could not tell whether their last request was run. From the beginning of the stop each answer now carries Connection: close, and the process lingers 500 ms before it closes the rest. Ruled out: closing at once after the node stopped, which is what was seen.

--- a/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
+++ b/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
@@ -55,6 +55,7 @@
   private static final String HEADER_LINE_PROPERTY =
       "io.activej.http.HttpMessage.maxHeaderLineSize";
 
+  private static final long LINGER_MILLISECONDS = 500;
   private static final int INCARNATION_BYTES = 8;
 
   private final ResolvedSettings resolved;
@@ -63,6 +64,7 @@
   private final ProcessMetrics processMetrics = new ProcessMetrics(registry);
   private final Deque<AutoCloseable> resources = new ArrayDeque<>();
   private final NodeReference node = new NodeReference();
+  private HttpFront front;
   private String httpAddress = "";
   private String peerAddress = "";
   private boolean stopped;
@@ -114,9 +116,9 @@
     if (peers.isLeft()) {
       return Either.left(peers.getLeft());
     }
-    Either<ErrorReport, Void> front = openFront(loops);
-    if (front.isLeft()) {
-      return front;
+    Either<ErrorReport, Void> opened = openFront(loops);
+    if (opened.isLeft()) {
+      return opened;
     }
     EntryNode created = factory.create(nodeSettings(loops, peers.get()));
     node.set(created);
@@ -149,7 +151,7 @@
   }
 
   private Either<ErrorReport, Void> openFront(EventLoopGroup loops) {
-    HttpFront front =
+    front =
         HttpFront.builder()
             .loops(loops)
             .address(resolved.http().socketAddress())
@@ -251,7 +253,9 @@
     }
     stopped = true;
     logger.atInfo().log("event=entry_stopping incarnation=%s", incarnation);
+    front.beginClosing();
     boolean whole = stopNode();
+    lingerForCallers();
     closeResources();
     logger.atInfo().log("event=entry_stopped incarnation=%s work_finished=%s", incarnation, whole);
   }
@@ -273,6 +277,15 @@
     }
   }
 
+  /** Gives callers with open connections the time to learn from an answer that they close. */
+  private static void lingerForCallers() {
+    try {
+      Thread.sleep(LINGER_MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void closeResources() {
     while (!resources.isEmpty()) {
       try {
--- a/entry/src/main/java/org/flamingochute/entry/http/Answers.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/Answers.java
@@ -3,9 +3,12 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.MessageOrBuilder;
 import com.google.protobuf.util.JsonFormat;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaderValue;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import org.flamingochute.decision.error.ErrorReport;
 import org.flamingochute.schema.ErrorBody;
 
@@ -55,6 +58,16 @@
         .withBody(text.getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Returns the same answer, but asks the caller to close the connection after it. */
+  static HttpResponse closing(HttpResponse answer) {
+    HttpResponse.Builder builder = HttpResponse.ofCode(answer.getCode());
+    for (Map.Entry<HttpHeader, HttpHeaderValue> header : answer.getHeaders()) {
+      builder.withHeader(header.getKey(), header.getValue());
+    }
+    builder.withHeader(HttpHeaders.CONNECTION, "close");
+    return builder.withBody(answer.takeBody()).build();
+  }
+
   /** Returns an error answer with the status of its code. */
   static HttpResponse error(ErrorReport report, OutcomeName outcome) {
     return error(ErrorStatus.of(report.code()), report, outcome);
--- a/entry/src/main/java/org/flamingochute/entry/http/HttpFront.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/HttpFront.java
@@ -32,6 +32,7 @@
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(30);
   private static final long CLOSE_MILLISECONDS = 2000;
 
+  private final RequestRouter router;
   private final Eventloop acceptLoop;
   private final PrimaryServer acceptor;
   private final List<HttpServer> servers = new ArrayList<>();
@@ -39,7 +40,7 @@
   private HttpFront(Builder builder) {
     FrontMetrics metrics = new FrontMetrics(builder.registry);
     ServerObserver observer = new ServerObserver(metrics);
-    RequestRouter router = router(builder, metrics);
+    router = router(builder, metrics);
     for (Eventloop loop : builder.loops.loops()) {
       servers.add(
           HttpServer.builder(loop, router)
@@ -106,6 +107,11 @@
     }
   }
 
+  /** Asks callers from now on, with each answer, to close their connections. */
+  public void beginClosing() {
+    router.beginClosing();
+  }
+
   /** Stops accepting and closes the connections after the answers under way are written. */
   public void close() {
     List<AbstractReactiveServer> all = new ArrayList<>(servers);
--- a/entry/src/main/java/org/flamingochute/entry/http/RequestRouter.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/RequestRouter.java
@@ -13,14 +13,24 @@
 final class RequestRouter implements AsyncServlet {
   private final InputGuard guard;
   private final Map<String, RouteGroup> groups;
+  private volatile boolean closing;
 
   RequestRouter(InputGuard guard, Map<String, RouteGroup> groups) {
     this.guard = guard;
     this.groups = Map.copyOf(groups);
   }
 
+  /** Asks callers from now on to close their connections, so that none has to be cut. */
+  void beginClosing() {
+    closing = true;
+  }
+
   @Override
   public Promise<HttpResponse> serve(HttpRequest request) {
+    return route(request).map(answer -> closing ? Answers.closing(answer) : answer);
+  }
+
+  private Promise<HttpResponse> route(HttpRequest request) {
     RequestPath path = new RequestPath(request.getPathAndQuery());
     RouteGroup group = groups.get(path.rawPart(0));
     if (group == null) {
--- a/entry/src/test/java/org/flamingochute/entry/http/HttpFrontTest.java
+++ b/entry/src/test/java/org/flamingochute/entry/http/HttpFrontTest.java
@@ -436,6 +436,18 @@
     assertThat(response.body(), containsString("\"http.service_request_time\": {"));
   }
 
+  @Test
+  void closingFrontAnswersAndAsksToClose() throws Exception {
+    HttpResponse<String> before = send("POST", "/services/s/x", "body");
+    assertThat(before.headers().firstValue("Connection").orElse(""), equalTo("keep-alive"));
+    front.beginClosing();
+    HttpResponse<String> after = send("POST", "/services/s/x", "body");
+    assertThat(after.body(), equalTo("body"));
+    assertThat(outcome(after), equalTo("answered"));
+    assertThat(after.headers().allValues("Connection"), equalTo(List.of("close")));
+    assertThat(send("GET", "/nothing", null).statusCode(), equalTo(404));
+  }
+
   @Test
   void nothingIsRunBeforeTheNodeExists() throws Exception {
     reference.set(null);
