--- a/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
+++ b/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
@@ -255,6 +255,7 @@
     logger.atInfo().log("event=entry_stopping incarnation=%s", incarnation);
     front.beginClosing();
     boolean whole = stopNode();
+    front.stopAccepting();
     lingerForCallers();
     closeResources();
     logger.atInfo().log("event=entry_stopped incarnation=%s work_finished=%s", incarnation, whole);
--- a/entry/src/main/java/org/flamingochute/entry/http/HttpFront.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/HttpFront.java
@@ -112,14 +112,21 @@
     router.beginClosing();
   }
 
+  /** Takes no more connections; those that are open are served on. */
+  public void stopAccepting() {
+    await(List.of(acceptor));
+  }
+
   /** Stops accepting and closes the connections after the answers under way are written. */
   public void close() {
-    List<AbstractReactiveServer> all = new ArrayList<>(servers);
-    all.addFirst(acceptor);
+    stopAccepting();
+    await(servers);
+  }
+
+  private static void await(List<? extends AbstractReactiveServer> closing) {
     CompletableFuture<?>[] ends =
-        all.stream()
-            .map(server -> server.closeFuture())
-            .map(future -> (CompletableFuture<?>) future)
+        closing.stream()
+            .map(server -> (CompletableFuture<?>) server.closeFuture())
             .toArray(CompletableFuture[]::new);
     CompletableFuture.allOf(ends)
         .completeOnTimeout(null, CLOSE_MILLISECONDS, TimeUnit.MILLISECONDS)
--- a/entry/src/test/java/org/flamingochute/entry/http/HttpFrontTest.java
+++ b/entry/src/test/java/org/flamingochute/entry/http/HttpFrontTest.java
@@ -6,11 +6,13 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -448,6 +450,28 @@
     assertThat(send("GET", "/nothing", null).statusCode(), equalTo(404));
   }
 
+  @Test
+  void openConnectionIsServedAfterTheFrontStoppedAccepting() throws Exception {
+    try (Socket open = new Socket(address.getAddress(), address.getPort())) {
+      open.setSoTimeout(3000);
+      byte[] request =
+          "GET /services/s HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+      open.getOutputStream().write(request);
+      assertThat(open.getInputStream().read(), equalTo((int) 'H'));
+      front.stopAccepting();
+      open.getOutputStream().write(request);
+      byte[] answers = open.getInputStream().readNBytes(150);
+      assertThat(
+          new String(answers, StandardCharsets.ISO_8859_1).split("HTTP/1.1 200", -1).length,
+          equalTo(2));
+      assertThrows(ConnectException.class, () -> connect());
+    }
+  }
+
+  private void connect() throws IOException {
+    new Socket(address.getAddress(), address.getPort()).close();
+  }
+
   @Test
   void nothingIsRunBeforeTheNodeExists() throws Exception {
     reference.set(null);
