--- a/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
+++ b/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
@@ -254,27 +254,24 @@
     stopped = true;
     logger.atInfo().log("event=entry_stopping incarnation=%s", incarnation);
     front.beginClosing();
-    boolean whole = stopNode();
+    stopNode();
     front.stopAccepting();
     lingerForCallers();
     closeResources();
-    logger.atInfo().log("event=entry_stopped incarnation=%s work_finished=%s", incarnation, whole);
+    logger.atInfo().log("event=entry_stopped incarnation=%s", incarnation);
   }
 
-  private boolean stopNode() {
+  private void stopNode() {
     long milliseconds = resolved.settings().getTiming().getStopMilliseconds();
     try {
       node.get()
           .ifPresent(
               running -> running.stop().orTimeout(milliseconds, TimeUnit.MILLISECONDS).join());
-      return true;
     } catch (CompletionException e) {
       logger.atWarning().log(
           "event=stop_incomplete message=%s", LogText.quoted(String.valueOf(e.getCause())));
-      return false;
     } catch (RuntimeException e) {
       uncaught("stop", e);
-      return false;
     }
   }
 
