--- a/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
+++ b/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
@@ -120,14 +120,18 @@
     if (opened.isLeft()) {
       return opened;
     }
+    String portFile = resolved.settings().getEntry().getPortFile();
+    Either<ErrorReport, Void> written = PortFile.write(portFile, httpAddress, peerAddress);
+    if (written.isLeft()) {
+      return written;
+    }
     EntryNode created = factory.create(nodeSettings(loops, peers.get()));
     node.set(created);
     created.start();
-    String portFile = resolved.settings().getEntry().getPortFile();
     logger.atInfo().log(
         "event=entry_started incarnation=%s http=%s peer=%s",
         incarnation, httpAddress, peerAddress);
-    return PortFile.write(portFile, httpAddress, peerAddress);
+    return Either.right(null);
   }
 
   private Either<ErrorReport, NettyPeerTransport> openPeers() {
--- a/entry/src/main/java/org/flamingochute/entry/http/ServiceRoutes.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/ServiceRoutes.java
@@ -88,7 +88,10 @@
       }
     }
     builder.withHeader(HeaderNames.OUTCOME, OutcomeName.ANSWERED.text());
-    return builder.withBody(answered.body()).build();
+    if (answered.body().length > 0) {
+      builder.withBody(answered.body());
+    }
+    return builder.build();
   }
 
   private Promise<HttpResponse> refused(ErrorReport report) {
--- a/entry/src/test/java/org/flamingochute/entry/EntryCommandTest.java
+++ b/entry/src/test/java/org/flamingochute/entry/EntryCommandTest.java
@@ -180,6 +180,7 @@
     String text = VALID.replace("[platform]", "port_file = /no/such/folder/ports\n[platform]");
     assertThat(command.execute("--settings", settings(text)), equalTo(Optional.of(1)));
     assertThat(errors.toString(), startsWith("error: FC-1308: section [entry]: key \"port_file\""));
+    assertThat(node.started, is(false));
   }
 
   @Test
--- a/entry/src/test/java/org/flamingochute/entry/http/HttpFrontTest.java
+++ b/entry/src/test/java/org/flamingochute/entry/http/HttpFrontTest.java
@@ -43,11 +43,14 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The HTTP interface in front of a fake node. */
 class HttpFrontTest {
   private static final int BODY_LIMIT = 1024;
   private static final int CONNECTION_LIMIT = 8;
+  private static final String OCTETS =
+      new String(new byte[] {(byte) 0xc3, (byte) 0x81}, StandardCharsets.ISO_8859_1);
 
   private final EventLoopGroup loops = EventLoopGroup.start("front", 2);
   private final FakeEntryNode node = new FakeEntryNode();
@@ -438,6 +441,42 @@
     assertThat(response.body(), containsString("\"http.service_request_time\": {"));
   }
 
+  static Stream<Arguments> headerValues() {
+    return Stream.of("two words", OCTETS, "a\tb", "", "\"q\", 'q'").map(Arguments::of);
+  }
+
+  @ParameterizedTest
+  @MethodSource("headerValues")
+  void headerValuesPassBothWaysUnchanged(String value) throws Exception {
+    node.answer =
+        request -> {
+          String seen =
+              request.headers().stream()
+                  .filter(header -> header.name().equalsIgnoreCase("X-Value"))
+                  .findFirst()
+                  .orElseThrow()
+                  .value();
+          return new CallerOutcome.Answered(
+              200,
+              List.of(new HeaderField("X-Back", seen), new HeaderField("X-Back", "second")),
+              new byte[0]);
+        };
+    String answer = raw("GET /services/s HTTP/1.1\r\nHost: a\r\nX-Value: " + value + "\r\n\r\n");
+    assertThat(answer, startsWith("HTTP/1.1 200"));
+    assertThat(answer, containsString("X-Back: " + value + "\r\n"));
+    assertThat(answer, containsString("X-Back: second\r\n"));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {204, 304})
+  void answerWithoutBodyLeavesItsConnectionUsable(int status) throws Exception {
+    node.answer = request -> new CallerOutcome.Answered(status, List.of(), new byte[0]);
+    assertThat(send("GET", "/services/s", null).statusCode(), equalTo(status));
+    HttpResponse<String> next = send("GET", "/services/s", null);
+    assertThat(next.statusCode(), equalTo(status));
+    assertThat(next.body(), equalTo(""));
+  }
+
   @Test
   void closingFrontAnswersAndAsksToClose() throws Exception {
     HttpResponse<String> before = send("POST", "/services/s/x", "body");
