Refuse requests whose end is ambiguous, and control characters in headers

Ruled out: closing by a header alone, since ActiveJ keeps the connection open; its socket is remembered when it is accepted.

--- a/entry/src/main/java/org/flamingochute/entry/http/CallerRequestReader.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/CallerRequestReader.java
@@ -1,14 +1,10 @@
 package org.flamingochute.entry.http;
 
-import io.activej.http.HttpHeader;
-import io.activej.http.HttpHeaderValue;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.vavr.control.Either;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.flamingochute.decision.error.ErrorReport;
@@ -18,6 +14,7 @@
 import org.flamingochute.engine.CallerRequest;
 import org.flamingochute.platform.HeaderField;
 import org.flamingochute.platform.http.ConnectionHeaders;
+import org.flamingochute.platform.http.MessageSyntax;
 
 /** Reads a caller's request to a service. */
 final class CallerRequestReader {
@@ -43,6 +40,9 @@
     if (!Identifiers.isValid(service)) {
       return Either.left(guard.malformed("path", path.toString(), "names no service"));
     }
+    if (!MessageSyntax.isPath(path.remainderAfter(PARTS_BEFORE_REMAINDER))) {
+      return Either.left(guard.malformed("path", path.toString(), "has a character to be escaped"));
+    }
     Either<ErrorReport, Long> timeout = timeout(request, maximumMilliseconds);
     if (timeout.isLeft()) {
       return Either.left(timeout.getLeft());
@@ -102,11 +102,7 @@
 
   /** Returns the headers for the endpoint: none of the connection and none of this system. */
   private static List<HeaderField> passedOn(HttpRequest request) {
-    List<HeaderField> headers = new ArrayList<>();
-    for (Map.Entry<HttpHeader, HttpHeaderValue> entry : request.getHeaders()) {
-      headers.add(new HeaderField(entry.getKey().toString(), entry.getValue().toString()));
-    }
-    List<HeaderField> kept = ConnectionHeaders.without(headers);
+    List<HeaderField> kept = ConnectionHeaders.without(InputGuard.headersOf(request));
     kept.removeIf(CallerRequestReader::isInternal);
     return kept;
   }
--- a/entry/src/main/java/org/flamingochute/entry/http/HttpFront.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/HttpFront.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.flamingochute.platform.http.EventLoopGroup;
 import org.flamingochute.schema.FleetDescription;
@@ -39,9 +40,10 @@
 
   private HttpFront(Builder builder) {
     FrontMetrics metrics = new FrontMetrics(builder.registry);
-    ServerObserver observer = new ServerObserver(metrics);
+    AtomicInteger connections = new AtomicInteger();
     router = router(builder, metrics);
     for (Eventloop loop : builder.loops.loops()) {
+      ServerObserver observer = new ServerObserver(metrics, connections);
       servers.add(
           HttpServer.builder(loop, router)
               .withKeepAliveTimeout(KEEP_ALIVE_TIMEOUT)
@@ -49,6 +51,7 @@
               .withMaxBodySize(Integer.MAX_VALUE)
               .withServeTimeoutShutdown(Duration.ofMillis(CLOSE_MILLISECONDS))
               .withInspector(observer)
+              .withSocketInspector(observer.acceptObserver())
               .build());
     }
     acceptLoop = builder.loops.loops().getFirst();
@@ -58,7 +61,7 @@
             .withListenAddress(builder.address)
             .withAcceptFilter(
                 (channel, local, remote, secure) -> {
-                  boolean refused = observer.connections() >= maximumConnections;
+                  boolean refused = connections.get() >= maximumConnections;
                   if (refused) {
                     metrics.refusedConnections().inc();
                     logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
--- a/entry/src/main/java/org/flamingochute/entry/http/InputGuard.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/InputGuard.java
@@ -9,10 +9,14 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import org.flamingochute.decision.error.ErrorCode;
 import org.flamingochute.decision.error.ErrorReport;
 import org.flamingochute.entry.log.LogText;
+import org.flamingochute.platform.HeaderField;
+import org.flamingochute.platform.http.MessageSyntax;
 import org.flamingochute.schema.LimitSection;
 
 /**
@@ -36,8 +40,32 @@
     this.metrics = metrics;
   }
 
-  /** Checks the size of all headers together. */
+  /**
+   * Tells whether the body's end can be read in two ways, which a proxy before this entry may read
+   * in the other one: two lengths, a length with chunks, or an encoding other than chunks.
+   */
+  boolean isEndAmbiguous(HttpRequest request) {
+    int lengths = 0;
+    int encodings = 0;
+    for (Map.Entry<HttpHeader, HttpHeaderValue> header : request.getHeaders()) {
+      if (header.getKey().equals(HttpHeaders.CONTENT_LENGTH)) {
+        lengths++;
+      }
+      if (header.getKey().equals(HttpHeaders.TRANSFER_ENCODING)) {
+        encodings++;
+        if (!header.getValue().toString().strip().equalsIgnoreCase("chunked")) {
+          return true;
+        }
+      }
+    }
+    return lengths + encodings > 1;
+  }
+
+  /** Checks the characters of all headers and their size together. */
   Either<ErrorReport, Void> checkHeaders(HttpRequest request) {
+    if (!MessageSyntax.areHeaders(headersOf(request))) {
+      return Either.left(malformed("headers", "", "a name or value has a control character"));
+    }
     long bytes = 0;
     for (Map.Entry<HttpHeader, HttpHeaderValue> header : request.getHeaders()) {
       bytes += header.getKey().size() + header.getValue().toString().length();
@@ -50,6 +78,15 @@
     return Either.left(malformed("headers", bytes + " bytes", problem));
   }
 
+  /** Returns all headers of a request. */
+  static List<HeaderField> headersOf(HttpRequest request) {
+    List<HeaderField> headers = new ArrayList<>();
+    for (Map.Entry<HttpHeader, HttpHeaderValue> entry : request.getHeaders()) {
+      headers.add(new HeaderField(entry.getKey().toString(), entry.getValue().toString()));
+    }
+    return headers;
+  }
+
   /** Reads the whole body, or reports that it is too large or cut. */
   Promise<Either<ErrorReport, byte[]>> body(HttpRequest request) {
     int maximum = limits.getMaximumBodyBytes();
--- a/entry/src/main/java/org/flamingochute/entry/http/RequestRouter.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/RequestRouter.java
@@ -27,7 +27,17 @@
 
   @Override
   public Promise<HttpResponse> serve(HttpRequest request) {
-    return route(request).map(answer -> closing ? Answers.closing(answer) : answer);
+    if (guard.isEndAmbiguous(request)) {
+      CallerConnection.endWithAnswer(request);
+      ErrorReport report = guard.malformed("headers", "", "the end of the body is ambiguous");
+      return Promise.of(Answers.closing(Answers.error(report, OutcomeName.NOT_RUN)));
+    }
+    return route(request).map(answer -> closing ? lastAnswer(request, answer) : answer);
+  }
+
+  private static HttpResponse lastAnswer(HttpRequest request, HttpResponse answer) {
+    CallerConnection.endWithAnswer(request);
+    return Answers.closing(answer);
   }
 
   private Promise<HttpResponse> route(HttpRequest request) {
--- a/entry/src/main/java/org/flamingochute/entry/http/ServerObserver.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/ServerObserver.java
@@ -9,25 +9,33 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.flamingochute.entry.log.LogText;
 
-/** Counts the open connections of all servers and reports messages that are not HTTP. */
+/** Counts the open connections of a server and reports messages that are not HTTP. */
 final class ServerObserver implements HttpServer.Inspector {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final FrontMetrics metrics;
-  private final AtomicInteger connections = new AtomicInteger();
+  private final AtomicInteger connections;
+  private final AcceptObserver acceptObserver = new AcceptObserver();
 
-  ServerObserver(FrontMetrics metrics) {
+  /**
+   * Creates an observer of one server.
+   *
+   * @param connections counts the open connections of all servers
+   */
+  ServerObserver(FrontMetrics metrics, AtomicInteger connections) {
     this.metrics = metrics;
+    this.connections = connections;
   }
 
-  /** Returns the number of open connections. */
-  int connections() {
-    return connections.get();
+  /** Returns the observer of the server's sockets. */
+  AcceptObserver acceptObserver() {
+    return acceptObserver;
   }
 
   @Override
   public void onAccept(HttpServerConnection connection) {
     connections.incrementAndGet();
+    connection.setUserData(new CallerConnection(acceptObserver.accepted()));
   }
 
   @Override
@@ -61,7 +69,9 @@
   public void onHttpResponse(HttpRequest request, HttpResponse response) {}
 
   @Override
-  public void onHttpResponseComplete(HttpServerConnection connection) {}
+  public void onHttpResponseComplete(HttpServerConnection connection) {
+    CallerConnection.answerWritten(connection);
+  }
 
   @Override
   public void onHttpError(HttpServerConnection connection, Exception error) {
--- a/entry/src/test/java/org/flamingochute/entry/http/HttpFrontTest.java
+++ b/entry/src/test/java/org/flamingochute/entry/http/HttpFrontTest.java
@@ -16,6 +16,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -301,7 +302,7 @@
     String answer;
     try {
       answer = raw(text);
-    } catch (java.net.SocketException e) {
+    } catch (SocketException e) {
       answer = "";
     }
     settle();
@@ -441,6 +442,57 @@
     assertThat(response.body(), containsString("\"http.service_request_time\": {"));
   }
 
+  static Stream<String> ambiguousLengths() {
+    return Stream.of(
+        "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        "Content-Length: 0\r\nContent-Length: 4\r\n\r\n",
+        "Content-Length: 4\r\nContent-Length: 0\r\n\r\n",
+        "Transfer-Encoding: identity\r\n\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n");
+  }
+
+  @ParameterizedTest
+  @MethodSource("ambiguousLengths")
+  void requestWhoseEndIsAmbiguousIsRefusedAndItsConnectionClosed(String rest) throws Exception {
+    String hidden = "GET /services/hidden HTTP/1.1\r\nHost: a\r\n\r\n";
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.setSoTimeout(3000);
+      String text = "POST /services/s HTTP/1.1\r\nHost: a\r\n" + rest + hidden + hidden;
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      readToEnd(socket);
+    }
+    assertThat(node.requests.isEmpty(), is(true));
+    assertThat(registry.counter("http.malformed").getCount(), greaterThan(0L));
+  }
+
+  private static void readToEnd(Socket socket) throws IOException {
+    try {
+      socket.getInputStream().readAllBytes();
+    } catch (SocketException e) {
+      // Closed with bytes unread, which resets the connection.
+    }
+  }
+
+  static Stream<String> controlCharacters() {
+    return Stream.of("X-A: b\rc", "X-A: b\0c", "X-A: b\177c");
+  }
+
+  @ParameterizedTest
+  @MethodSource("controlCharacters")
+  void controlCharacterInHeaderIsMalformed(String header) throws Exception {
+    String answer = raw("GET /services/s HTTP/1.1\r\nHost: a\r\n" + header + "\r\n\r\n");
+    assertThat(answer, startsWith("HTTP/1.1 400"));
+    assertThat(node.requests.isEmpty(), is(true));
+  }
+
+  @Test
+  void octetsInPathAreMalformed() throws Exception {
+    String answer = raw("GET /services/s/" + OCTETS + " HTTP/1.1\r\nHost: a\r\n\r\n");
+    assertThat(answer, startsWith("HTTP/1.1 400"));
+    assertThat(node.requests.isEmpty(), is(true));
+  }
+
   static Stream<Arguments> headerValues() {
     return Stream.of("two words", OCTETS, "a\tb", "", "\"q\", 'q'").map(Arguments::of);
   }
