--- a/entry/src/main/java/org/flamingochute/entry/http/HttpFront.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/HttpFront.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.flamingochute.platform.http.EventLoopGroup;
 import org.flamingochute.schema.FleetDescription;
@@ -32,15 +33,17 @@
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(30);
   private static final long CLOSE_MILLISECONDS = 2000;
 
+  private final RequestRouter router;
   private final Eventloop acceptLoop;
   private final PrimaryServer acceptor;
   private final List<HttpServer> servers = new ArrayList<>();
 
   private HttpFront(Builder builder) {
     FrontMetrics metrics = new FrontMetrics(builder.registry);
-    ServerObserver observer = new ServerObserver(metrics);
-    RequestRouter router = router(builder, metrics);
+    AtomicInteger connections = new AtomicInteger();
+    router = router(builder, metrics);
     for (Eventloop loop : builder.loops.loops()) {
+      ServerObserver observer = new ServerObserver(metrics, connections);
       servers.add(
           HttpServer.builder(loop, router)
               .withKeepAliveTimeout(KEEP_ALIVE_TIMEOUT)
@@ -48,6 +51,7 @@
               .withMaxBodySize(Integer.MAX_VALUE)
               .withServeTimeoutShutdown(Duration.ofMillis(CLOSE_MILLISECONDS))
               .withInspector(observer)
+              .withSocketInspector(observer.acceptObserver())
               .build());
     }
     acceptLoop = builder.loops.loops().getFirst();
@@ -57,7 +61,7 @@
             .withListenAddress(builder.address)
             .withAcceptFilter(
                 (channel, local, remote, secure) -> {
-                  boolean refused = observer.connections() >= maximumConnections;
+                  boolean refused = connections.get() >= maximumConnections;
                   if (refused) {
                     metrics.refusedConnections().inc();
                     logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
@@ -106,14 +110,26 @@
     }
   }
 
+  /** Asks callers from now on, with each answer, to close their connections. */
+  public void beginClosing() {
+    router.beginClosing();
+  }
+
+  /** Takes no more connections; those that are open are served on. */
+  public void stopAccepting() {
+    await(List.of(acceptor));
+  }
+
   /** Stops accepting and closes the connections after the answers under way are written. */
   public void close() {
-    List<AbstractReactiveServer> all = new ArrayList<>(servers);
-    all.addFirst(acceptor);
+    stopAccepting();
+    await(servers);
+  }
+
+  private static void await(List<? extends AbstractReactiveServer> closing) {
     CompletableFuture<?>[] ends =
-        all.stream()
-            .map(server -> server.closeFuture())
-            .map(future -> (CompletableFuture<?>) future)
+        closing.stream()
+            .map(server -> (CompletableFuture<?>) server.closeFuture())
             .toArray(CompletableFuture[]::new);
     CompletableFuture.allOf(ends)
         .completeOnTimeout(null, CLOSE_MILLISECONDS, TimeUnit.MILLISECONDS)
--- a/entry/src/main/java/org/flamingochute/entry/http/RequestRouter.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/RequestRouter.java
@@ -13,14 +13,34 @@
 final class RequestRouter implements AsyncServlet {
   private final InputGuard guard;
   private final Map<String, RouteGroup> groups;
+  private volatile boolean closing;
 
   RequestRouter(InputGuard guard, Map<String, RouteGroup> groups) {
     this.guard = guard;
     this.groups = Map.copyOf(groups);
   }
 
+  /** Asks callers from now on to close their connections, so that none has to be cut. */
+  void beginClosing() {
+    closing = true;
+  }
+
   @Override
   public Promise<HttpResponse> serve(HttpRequest request) {
+    if (guard.isEndAmbiguous(request)) {
+      CallerConnection.endWithAnswer(request);
+      ErrorReport report = guard.malformed("headers", "", "the end of the body is ambiguous");
+      return Promise.of(Answers.closing(Answers.error(report, OutcomeName.NOT_RUN)));
+    }
+    return route(request).map(answer -> closing ? lastAnswer(request, answer) : answer);
+  }
+
+  private static HttpResponse lastAnswer(HttpRequest request, HttpResponse answer) {
+    CallerConnection.endWithAnswer(request);
+    return Answers.closing(answer);
+  }
+
+  private Promise<HttpResponse> route(HttpRequest request) {
     RequestPath path = new RequestPath(request.getPathAndQuery());
     RouteGroup group = groups.get(path.rawPart(0));
     if (group == null) {
