--- a/standin/src/main/java/org/flamingochute/standin/InMemoryEndpointClient.java
+++ b/standin/src/main/java/org/flamingochute/standin/InMemoryEndpointClient.java
@@ -34,7 +34,7 @@
 
   private static EndpointOutcome outcomeOf(EndpointRequest request, RunnerReply reply) {
     return switch (reply) {
-      case RunnerReply.Refused refused -> new EndpointOutcome.NotRun(refused.detail());
+      case RunnerReply.Refused refused -> new EndpointOutcome.NotRun(refused.detail(), true);
       case RunnerReply.Whole whole -> ownAnswer(request, whole.answer());
       case RunnerReply.Repeated repeated -> ownAnswer(request, repeated.answer());
       case RunnerReply.BrokenOff brokenOff -> new EndpointOutcome.Unknown("the answer is short");
