--- a/control/src/main/java/org/flamingochute/control/CommandContext.java
+++ b/control/src/main/java/org/flamingochute/control/CommandContext.java
@@ -56,8 +56,7 @@
       text = Files.readString(Path.of(file));
     } catch (IOException e) {
       return Either.left(
-          new ControlError.Usage(
-              ErrorReport.of(ErrorCode.SETTINGS_UNREADABLE, file, e.toString()).message()));
+          new ControlError.Usage(ErrorReport.of(ErrorCode.SETTINGS_UNREADABLE, file, e).message()));
     }
     return new FleetDescriptionParser()
         .parse(file, text)
--- a/control/src/test/java/org/flamingochute/control/CommandTest.java
+++ b/control/src/test/java/org/flamingochute/control/CommandTest.java
@@ -95,7 +95,7 @@
     "cap = 12, 6, 'STALE_BASE FC-1408: the patch is against version 6, but version 7'",
     "cap = 12, 8, STALE_BASE",
     "cap = x, 7, INVALID_DESCRIPTION",
-    "cap = 12, x, 'USAGE FC-1406: command line: --base: value \"x\"'",
+    "cap = 12, x, 'USAGE FC-1300: command line: --base: value \"x\"'",
     "cap = 12, -1, USAGE",
   })
   void applyNeedsTheVersionInForce(String replacement, String base, String text) throws Exception {
@@ -107,7 +107,7 @@
   @CsvSource({
     "apply, FILE, --base is needed",
     "apply, '', needs one argument",
-    "validate, nowhere.ini, FC-1406",
+    "validate, nowhere.ini, FC-1300",
     "show, x, takes no argument",
     "status, x, takes no argument",
     "history, x, takes no argument",
--- a/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
+++ b/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
@@ -94,7 +94,6 @@
   STAND_IN_PARAMETER(1403, "%s: parameter \"%s\" has value \"%s\", which is not %s"),
   STAND_IN_UNREACHABLE(1404, "%s at %s cannot be reached: %s"),
   FILE_NOT_WRITABLE(1405, "%s: cannot be written: %s"),
-  TOOL_COMMAND_LINE(1406, "command line: %s"),
   REPORT_MALFORMED(1407, "%s: the report cannot be read: %s"),
   CONTROL_STALE_BASE(1408, "the patch is against version %s, but version %s is in force"),
   CONTROL_UNREACHABLE(1409, "no answer from entry %s"),
--- a/load/src/main/java/org/flamingochute/load/LoadClients.java
+++ b/load/src/main/java/org/flamingochute/load/LoadClients.java
@@ -52,7 +52,7 @@
       if (address.isEmpty()) {
         throw new LoadException(
             ErrorReport.of(
-                ErrorCode.TOOL_COMMAND_LINE,
+                ErrorCode.COMMAND_LINE,
                 "--entries: value \"" + entry + "\" is not an IP address and port"));
       }
       addresses.add(address.get());
--- a/load/src/main/java/org/flamingochute/load/LoadMain.java
+++ b/load/src/main/java/org/flamingochute/load/LoadMain.java
@@ -58,7 +58,7 @@
       }
       return new LoadMain(output).run(line);
     } catch (ParseException e) {
-      errors.println(ErrorReport.of(ErrorCode.TOOL_COMMAND_LINE, e.getMessage()));
+      errors.println(ErrorReport.of(ErrorCode.COMMAND_LINE, e.getMessage()));
       return EXIT_USAGE;
     } catch (LoadException e) {
       e.reports().forEach(errors::println);
@@ -76,7 +76,7 @@
       default ->
           throw new LoadException(
               ErrorReport.of(
-                  ErrorCode.TOOL_COMMAND_LINE,
+                  ErrorCode.COMMAND_LINE,
                   "one of traffic, throughput and summary is needed, not " + commands));
     };
   }
--- a/load/src/main/java/org/flamingochute/load/LoadOptions.java
+++ b/load/src/main/java/org/flamingochute/load/LoadOptions.java
@@ -72,8 +72,7 @@
   static String required(CommandLine line, String name) throws LoadException {
     String value = line.getOptionValue(name);
     if (value == null) {
-      throw new LoadException(
-          ErrorReport.of(ErrorCode.TOOL_COMMAND_LINE, "--" + name + " is needed"));
+      throw new LoadException(ErrorReport.of(ErrorCode.COMMAND_LINE, "--" + name + " is needed"));
     }
     return value;
   }
@@ -91,7 +90,7 @@
     }
     throw new LoadException(
         ErrorReport.of(
-            ErrorCode.TOOL_COMMAND_LINE,
+            ErrorCode.COMMAND_LINE,
             "--" + name + ": value \"" + value + "\" is not a number of at least 0"));
   }
 }
--- a/load/src/test/java/org/flamingochute/load/LoadMainTest.java
+++ b/load/src/test/java/org/flamingochute/load/LoadMainTest.java
@@ -22,7 +22,7 @@
       delimiter = '|',
       value = {
         "--help | '' | 0 | exit codes",
-        "'' | '' | 2 | FC-1406",
+        "'' | '' | 2 | FC-1300",
         "castle | '' | 2 | castle",
         "traffic --wrong | '' | 2 | --wrong",
         "traffic | '' | 2 | --settings",
--- a/standin/src/main/java/org/flamingochute/standin/http/StandInMain.java
+++ b/standin/src/main/java/org/flamingochute/standin/http/StandInMain.java
@@ -72,7 +72,7 @@
       }
       return run(line);
     } catch (ParseException e) {
-      errors.println(ErrorReport.of(ErrorCode.TOOL_COMMAND_LINE, e.getMessage()));
+      errors.println(ErrorReport.of(ErrorCode.COMMAND_LINE, e.getMessage()));
       return EXIT_USAGE;
     } catch (SettingsException e) {
       e.reports.forEach(errors::println);
--- a/standin/src/test/java/org/flamingochute/standin/http/StandInMainTest.java
+++ b/standin/src/test/java/org/flamingochute/standin/http/StandInMainTest.java
@@ -22,8 +22,8 @@
       delimiter = '|',
       value = {
         "--help | '' | 0 | usage",
-        "'' | '' | 2 | FC-1406",
-        "platform | '' | 2 | FC-1406",
+        "'' | '' | 2 | FC-1300",
+        "platform | '' | 2 | FC-1300",
         "platform --wrong | '' | 2 | --wrong",
         "castle --settings FILE | '' | 2 | castle",
         "platform --settings FILE.absent | '' | 2 | FC-1000",
