Tell a refusal from a missing connection in the load tool

A stand-in runner's refusal did not repeat the request id, so that an entry had to take it for a crossed answer. The call records now keep the start time and the reason of the last try.

Shown failing first: StandInProcessTest.refusalRepeatsTheRequestId (no header), HttpCallSenderTest.refusalIsNotAMissingConnection (was NoConnection).

The answer is waited for 500 ms beyond the deadline that the entry is told, so that its verdict at the deadline arrives.

Tests: standin and load, all passed.

--- a/load/src/main/java/org/flamingochute/load/HttpCallSender.java
+++ b/load/src/main/java/org/flamingochute/load/HttpCallSender.java
@@ -14,14 +14,21 @@
 import org.flamingochute.standin.RequestTags;
 import org.flamingochute.standin.TaggedAnswer;
 
-/** Sends the tries of calls over HTTP and judges the answers. */
+/**
+ * Sends the tries of calls over HTTP and judges the answers.
+ *
+ * <p>The entry is told the time until the deadline. The answer is waited for a little longer, so
+ * that what the entry says at the deadline still arrives.
+ */
 public final class HttpCallSender implements CallSender {
 
   private static final String KEY = "Flamingochute-Key";
   private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
   private static final String NOT_RUN = "not-run";
   private static final String UNKNOWN = "unknown";
+  private static final long GRACE_MILLISECONDS = 500;
   private static final int STATUS_OK = 200;
+  private static final int STATUS_UNAVAILABLE = 503;
   private static final byte[] EMPTY = new byte[0];
 
   private final ExchangeClient client;
@@ -47,7 +54,7 @@
             pathPrefix + call.service() + "/" + call.tag(),
             headersOf(call, timeoutMilliseconds),
             EMPTY,
-            timeoutMilliseconds,
+            timeoutMilliseconds + GRACE_MILLISECONDS,
             call.isOrder() ? ConnectionReuse.ALLOWED : ConnectionReuse.ALLOWED_WITH_RETRY,
             Optional.empty());
     return client.send(request).thenApply(result -> judge(call, result));
@@ -72,6 +79,8 @@
   /** Judges the result of one try. */
   static TryOutcome judge(Call call, ExchangeResult result) {
     return switch (result) {
+      case ExchangeResult.NotRun refused when refused.busy() ->
+          new TryOutcome.NotRun(STATUS_UNAVAILABLE);
       case ExchangeResult.NotRun notRun -> new TryOutcome.NoConnection(notRun.detail());
       case ExchangeResult.Unknown unknown ->
           new TryOutcome.Unknown(0, unknown.cause() + ": " + unknown.detail());
--- a/load/src/main/java/org/flamingochute/load/JobCaller.java
+++ b/load/src/main/java/org/flamingochute/load/JobCaller.java
@@ -115,7 +115,7 @@
   }
 
   private void pauseUnreachable(NumericAddress entry, ExchangeResult result) {
-    if (result instanceof ExchangeResult.NotRun) {
+    if (result instanceof ExchangeResult.NotRun notRun && !notRun.busy()) {
       balancer.pause(entry);
     }
   }
--- a/load/src/main/java/org/flamingochute/load/RequestCaller.java
+++ b/load/src/main/java/org/flamingochute/load/RequestCaller.java
@@ -1,6 +1,7 @@
 package org.flamingochute.load;
 
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import org.flamingochute.platform.Timers;
 import org.flamingochute.platform.http.NumericAddress;
 import org.flamingochute.schema.CallRecord;
@@ -43,26 +44,35 @@
   private static final class Attempted {
     private final Call call;
     private final long startNanoseconds = System.nanoTime();
+    private final long startMilliseconds;
     private final long deadline;
     private int tries;
     private boolean mayHaveRun;
+    private int status;
+    private String detail = "";
 
-    private Attempted(Call call, long now) {
+    private Attempted(Call call, Timers timers) {
       this.call = call;
-      this.deadline = now + call.timeoutMilliseconds();
+      this.startMilliseconds = timers.wallMilliseconds();
+      this.deadline = timers.monotonicMilliseconds() + call.timeoutMilliseconds();
+    }
+
+    private void lastTry(int status, String detail) {
+      this.status = status;
+      this.detail = detail;
     }
   }
 
   /** Makes one call; what comes of it goes to the recorder. */
   public void call(Call call) {
     recorder.callStarted();
-    tryOnce(new Attempted(call, timers.monotonicMilliseconds()));
+    tryOnce(new Attempted(call, timers));
   }
 
   private void tryOnce(Attempted attempted) {
     long remaining = attempted.deadline - timers.monotonicMilliseconds();
     if (remaining <= 0) {
-      end(attempted, unansweredOutcome(attempted), false, 0);
+      endUnanswered(attempted);
       return;
     }
     attempted.tries++;
@@ -74,34 +84,44 @@
 
   private void tried(Attempted attempted, NumericAddress entry, TryOutcome outcome) {
     switch (outcome) {
-      case TryOutcome.Answered answered ->
-          end(attempted, Outcome.OUTCOME_ANSWERED, !answered.whole(), answered.status());
-      case TryOutcome.NotRun notRun ->
-          end(attempted, unansweredOutcome(attempted), false, notRun.status());
+      case TryOutcome.Answered answered -> {
+        attempted.lastTry(answered.status(), "");
+        end(attempted, Outcome.OUTCOME_ANSWERED, !answered.whole());
+      }
+      case TryOutcome.NotRun notRun -> {
+        attempted.lastTry(notRun.status(), "not run");
+        endUnanswered(attempted);
+      }
       case TryOutcome.NoConnection noConnection -> {
+        attempted.lastTry(0, noConnection.detail());
         balancer.pause(entry);
-        retry(attempted, 0);
+        retry(attempted);
       }
       case TryOutcome.Unknown unknown -> {
+        attempted.lastTry(unknown.status(), unknown.detail());
         attempted.mayHaveRun = true;
-        retry(attempted, unknown.status());
+        retry(attempted);
       }
     }
   }
 
-  private void retry(Attempted attempted, int status) {
+  private void retry(Attempted attempted) {
     if (attempted.tries >= mostTries) {
-      end(attempted, unansweredOutcome(attempted), false, status);
+      endUnanswered(attempted);
       return;
     }
     timers.schedule(RETRY_DELAY, () -> tryOnce(attempted));
   }
 
+  private void endUnanswered(Attempted attempted) {
+    end(attempted, unansweredOutcome(attempted), false);
+  }
+
   private static Outcome unansweredOutcome(Attempted attempted) {
     return attempted.mayHaveRun ? Outcome.OUTCOME_UNKNOWN : Outcome.OUTCOME_NOT_RUN;
   }
 
-  private void end(Attempted attempted, Outcome outcome, boolean crossed, int status) {
+  private void end(Attempted attempted, Outcome outcome, boolean crossed) {
     long nanoseconds = System.nanoTime() - attempted.startNanoseconds;
     Call call = attempted.call;
     recorder.callEnded(
@@ -112,8 +132,10 @@
             .setOutcome(outcome)
             .setCrossed(crossed)
             .setTries(attempted.tries)
-            .setStatus(status)
-            .setLatencyMicroseconds(nanoseconds / 1000)
+            .setStatus(attempted.status)
+            .setDetail(attempted.detail)
+            .setStartedMilliseconds(attempted.startMilliseconds)
+            .setLatencyMicroseconds(TimeUnit.NANOSECONDS.toMicros(nanoseconds))
             .build());
   }
 }
--- a/load/src/test/java/org/flamingochute/load/HttpCallSenderTest.java
+++ b/load/src/test/java/org/flamingochute/load/HttpCallSenderTest.java
@@ -38,6 +38,13 @@
     assertThat(result.toString(), equalTo(judged));
   }
 
+  @ParameterizedTest(name = "not run, told by the other side {0}, is {1}")
+  @CsvSource({"true, 'NotRun[status=503]'", "false, 'NoConnection[detail=x]'"})
+  void refusalIsNotAMissingConnection(boolean told, String judged) {
+    TryOutcome result = HttpCallSender.judge(CALL, new ExchangeResult.NotRun("x", told));
+    assertThat(result.toString(), equalTo(judged));
+  }
+
   @ParameterizedTest(name = "cause {0} is unknown")
   @CsvSource({"CUT", "LATE", "MALFORMED", "CROSSED"})
   void missingAnswerIsUnknown(UnknownCause cause) {
--- a/standin/src/main/java/org/flamingochute/standin/http/RunnerServlet.java
+++ b/standin/src/main/java/org/flamingochute/standin/http/RunnerServlet.java
@@ -31,6 +31,7 @@
   private static final int STATUS_UNAVAILABLE = 503;
   private static final long DEFAULT_TIMEOUT_MILLISECONDS = 30_000;
   private static final String NOT_RUN = "not-run";
+  private static final HttpHeader REQUEST_ID = HttpHeaders.of(RequestTags.REQUEST_ID);
   private static final HttpHeader OUTCOME = HttpHeaders.of(RequestTags.OUTCOME);
 
   private static final List<String> READ_HEADERS =
@@ -74,7 +75,8 @@
             body,
             timeoutOf(request),
             false);
-    return Promise.ofCompletionStage(runner.submit(received)).then(RunnerServlet::respond);
+    return Promise.ofCompletionStage(runner.submit(received))
+        .then(reply -> respond(received.requestId(), reply));
   }
 
   private static List<HeaderField> readHeaders(HttpRequest request) {
@@ -100,11 +102,12 @@
         field, RequestTags.TIMEOUT_MILLISECONDS, DEFAULT_TIMEOUT_MILLISECONDS);
   }
 
-  private static Promise<HttpResponse> respond(RunnerReply reply) {
+  private static Promise<HttpResponse> respond(String requestId, RunnerReply reply) {
     return switch (reply) {
       case RunnerReply.Refused refused ->
           HttpResponse.ofCode(STATUS_UNAVAILABLE)
               .withHeader(OUTCOME, NOT_RUN)
+              .withHeader(REQUEST_ID, requestId)
               .withPlainText(refused.detail())
               .toPromise();
       case RunnerReply.Whole whole ->
--- a/standin/src/test/java/org/flamingochute/standin/http/StandInProcessTest.java
+++ b/standin/src/test/java/org/flamingochute/standin/http/StandInProcessTest.java
@@ -152,6 +152,16 @@
     assertThat(report.getRequests(0).getEnded(), equalTo(1));
   }
 
+  @Test
+  void refusalRepeatsTheRequestId() throws Exception {
+    String runner = instances().get("quotes-0").getAddress();
+    text("POST", runner, "/standin/power", "{\"on\":false}");
+    HttpResponse<byte[]> response = call("POST", runner, "/quote", new byte[0]);
+    assertThat(response.statusCode(), equalTo(503));
+    assertThat(response.headers().firstValue("Flamingochute-Outcome").get(), equalTo("not-run"));
+    assertThat(response.headers().firstValue("Flamingochute-Request-Id").get(), equalTo("d1"));
+  }
+
   @Test
   void drainThenRebootThroughThePlatform() throws Exception {
     text("POST", platform.address(), "/faults", "{\"listLagMilliseconds\":0}");
