Let an entry always use its part of an endpoint's slots, and prefer by its own counts

Cause: the counts of other entries are as old as a heartbeat (200 ms), longer than a request (40 ms). An entry learned of a free slot at once only when it was its own, so those that held the slots kept them, and all preferred the same endpoint until the next heartbeat. Change: room is own < ceil(1.5 * slots / entries) or total < slots; the preference compares own counts.

--- a/decision/src/main/java/org/flamingochute/decision/dispatch/LeastLoadedOfTwoChooser.java
+++ b/decision/src/main/java/org/flamingochute/decision/dispatch/LeastLoadedOfTwoChooser.java
@@ -7,23 +7,32 @@
 import org.flamingochute.decision.identity.InstanceId;
 
 /**
- * Draws two of the endpoints that have room, and takes the less loaded one.
+ * Draws two of the endpoints that have room, and takes the one with fewer requests of this entry.
  *
- * <p>An endpoint has room while the requests in flight of all entries are fewer than its slots,
- * less what the outlier detector holds back, and while this entry is below its equal part of the
- * endpoint's connections. Counts of other entries are as old as their last heartbeat; taking the
- * best of all by such counts would send every entry to the same endpoint at once, while the better
- * of two random ones spreads them. Example: of 3 endpoints with 2, 8 and 5 of 8 slots in use the
- * second has no room; the draw is the first and the third, and the first gets the request.
+ * <p>An endpoint has room while this entry is below its guaranteed part of the slots, one and a
+ * half times its equal part, or while the requests of all entries are fewer than the slots. In any
+ * case this entry stays below its equal part of the connections and below the limit of the outlier
+ * detector. Counts of other entries are as old as their last heartbeat, longer than a request
+ * takes. They serve to let an entry use what the others leave idle, but they must not decide alone:
+ * an entry learns of a free slot at once only when it was its own, so that without a guaranteed
+ * part those that hold the slots would keep them, and with a preference by such counts all entries
+ * would send to the same endpoint until the next heartbeat.
+ *
+ * <p>Example: 8 slots, 9 entries: the guaranteed part is 2. An endpoint with 1 own and 8 other
+ * requests has room, one with 2 own and 6 others does not, and one with 2 own and 3 others does.
  */
 public final class LeastLoadedOfTwoChooser implements EndpointChooser {
 
+  private static final double GUARANTEED_FACTOR = 1.5;
+
   private final UniformRandomProvider random;
   private final OutlierDetector outliers;
   private final IntSupplier entries;
+  private final EndpointPreference preference;
+  private final double guaranteedFactor;
 
   /**
-   * Creates a chooser.
+   * Creates a chooser with the default preference.
    *
    * @param random the source of random numbers, used under the chooser's own lock
    * @param outliers tells which endpoints get no work or less work
@@ -31,9 +40,29 @@
    */
   public LeastLoadedOfTwoChooser(
       UniformRandomProvider random, OutlierDetector outliers, IntSupplier entries) {
+    this(random, outliers, entries, EndpointPreference.OWN_IN_FLIGHT, GUARANTEED_FACTOR);
+  }
+
+  /**
+   * Creates a chooser.
+   *
+   * @param random the source of random numbers, used under the chooser's own lock
+   * @param outliers tells which endpoints get no work or less work
+   * @param entries gives the number of entries that share the endpoints
+   * @param preference the counts that are compared
+   * @param guaranteedFactor multiple of an entry's equal part of the slots that it may always use
+   */
+  public LeastLoadedOfTwoChooser(
+      UniformRandomProvider random,
+      OutlierDetector outliers,
+      IntSupplier entries,
+      EndpointPreference preference,
+      double guaranteedFactor) {
     this.random = random;
     this.outliers = outliers;
     this.entries = entries;
+    this.preference = preference;
+    this.guaranteedFactor = guaranteedFactor;
   }
 
   @Override
@@ -56,13 +85,25 @@
 
   private boolean hasRoom(EndpointLoad load, int endpoints, long nowMilliseconds) {
     int limit = outliers.slotLimit(load.endpoint(), load.slots(), endpoints, nowMilliseconds);
-    int connectionPart = Math.max(1, load.connections() / Math.max(1, entries.getAsInt()));
-    return load.totalInFlight() < limit && load.ownInFlight() < connectionPart;
+    int entryCount = Math.max(1, entries.getAsInt());
+    int connectionPart = Math.max(1, load.connections() / entryCount);
+    if (limit <= 0 || load.ownInFlight() >= Math.min(limit, connectionPart)) {
+      return false;
+    }
+    double guaranteed = Math.ceil(guaranteedFactor * limit / entryCount);
+    return load.ownInFlight() < guaranteed || load.totalInFlight() < limit;
   }
 
-  private static EndpointLoad lessLoaded(EndpointLoad left, EndpointLoad right) {
-    long leftLoad = (long) left.totalInFlight() * right.slots();
-    long rightLoad = (long) right.totalInFlight() * left.slots();
+  private EndpointLoad lessLoaded(EndpointLoad left, EndpointLoad right) {
+    long leftLoad = (long) inFlight(left) * right.slots();
+    long rightLoad = (long) inFlight(right) * left.slots();
     return rightLoad < leftLoad ? right : left;
   }
+
+  private int inFlight(EndpointLoad load) {
+    return switch (preference) {
+      case OWN_IN_FLIGHT -> load.ownInFlight();
+      case TOTAL_IN_FLIGHT -> load.totalInFlight();
+    };
+  }
 }
--- a/experiment/src/main/java/org/flamingochute/experiment/request/RequestPolicies.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/request/RequestPolicies.java
@@ -8,6 +8,7 @@
 import org.flamingochute.decision.admission.QueueBounds;
 import org.flamingochute.decision.admission.WithinTeamOrder;
 import org.flamingochute.decision.dispatch.EndpointChooser;
+import org.flamingochute.decision.dispatch.EndpointPreference;
 import org.flamingochute.decision.dispatch.LeastLoadedOfTwoChooser;
 import org.flamingochute.decision.dispatch.OutlierDetector;
 import org.flamingochute.decision.dispatch.OutlierSettings;
@@ -25,7 +26,7 @@
     return new RequestPolicy(
         "first-come",
         shares -> new FirstComeRequestQueue<>(BOUNDS),
-        RequestPolicies::leastLoaded,
+        choosing(EndpointPreference.OWN_IN_FLIGHT, 1.5),
         true,
         false);
   }
@@ -50,7 +51,7 @@
     return new RequestPolicy(
         name,
         shares -> new FairRequestQueue<>(settings, shares),
-        RequestPolicies::leastLoaded,
+        choosing(EndpointPreference.OWN_IN_FLIGHT, 1.5),
         true,
         gossips);
   }
@@ -64,9 +65,15 @@
     return new RequestPolicy(name, fair.queue(), chooser, gossipsEndpoints, true);
   }
 
-  static EndpointChooser leastLoaded(UniformRandomProvider random, int entries) {
-    OutlierDetector outliers = new OutlierDetector(OutlierSettings.defaults());
-    return new LeastLoadedOfTwoChooser(random, outliers, () -> entries);
+  static BiFunction<UniformRandomProvider, Integer, EndpointChooser> choosing(
+      EndpointPreference preference, double guaranteedFactor) {
+    return (random, entries) ->
+        new LeastLoadedOfTwoChooser(
+            random,
+            new OutlierDetector(OutlierSettings.defaults()),
+            () -> entries,
+            preference,
+            guaranteedFactor);
   }
 
   static EndpointChooser random(UniformRandomProvider random, int entries) {
--- a/experiment/src/main/java/org/flamingochute/experiment/request/RequestRecorder.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/request/RequestRecorder.java
@@ -44,7 +44,7 @@
       return;
     }
     answeredInTime++;
-    count(answered, nowMilliseconds, request.team());
+    count(answered, request.arrivalMilliseconds(), request.team());
   }
 
   private static void record(Histogram histogram, double milliseconds) {
