Count the service of other entries by ratio and long means

Cause: the cost of a request followed a short mean of 8 requests, and the others' service was added in lumps with every heartbeat. All entries corrected the same difference at once and overshot, and a team with a short queue lost its turn.

--- a/decision/src/main/java/org/flamingochute/decision/admission/FairRequestQueue.java
+++ b/decision/src/main/java/org/flamingochute/decision/admission/FairRequestQueue.java
@@ -18,13 +18,16 @@
  * share. The next request is taken from the eligible team with the smallest position, and the
  * virtual time of the queue is the position of the team that was served last. A team that comes
  * back from being idle, or from being out of tokens, starts at the virtual time of the queue, so
- * that it is neither owed service for the time that it was away nor held back for it. Service that
- * other entries gave to the team moves its position too, so that the entries together serve by
- * share even when the teams' requests reach them unevenly.
+ * that it is neither owed service for the time that it was away nor held back for it.
  *
  * <p>Example: team A has share 2, B share 1, and each request takes 10 ms. Positions of A after its
  * requests are 5, 10, 15, 20 and those of B 10, 20, so that the order is A B A A B A, two to one.
- * When A is then served two requests elsewhere, its position moves by 10, and B gets the next turn.
+ *
+ * <p>The entries together serve by share even when the teams' requests reach them unevenly: each
+ * request of a team counts as many times as all entries started requests of the team for each one
+ * started here. When A's requests reach three entries evenly and B's only this one, each of A
+ * counts threefold. Adding the others' service to the position as it is reported would be right on
+ * average too, but all entries would then correct the same difference at once, and overshoot.
  *
  * <p>Under overload the requests that are certain to be late are removed before they cost an
  * endpoint any time: a request is taken only while the time left is at least the upper estimate of
@@ -95,7 +98,7 @@
       TeamBacklog<T> team = backlogged.get(next);
       QueuedRequest<T> request = team.removeNext(settings.order(), nowMilliseconds);
       removed(next);
-      charge(next, team);
+      charge(next, team, nowMilliseconds);
       return Optional.of(request);
     } finally {
       lock.unlock();
@@ -144,10 +147,7 @@
   public void observeRemoteService(TeamId team, double requests) {
     lock.lock();
     try {
-      TeamBacklog<T> backlog = team(team);
-      double cost = requests * backlog.serviceTime().meanMilliseconds() / share(team);
-      double start = Math.max(backlog.virtualFinish(), virtualTime);
-      backlog.setVirtualFinish(Math.min(start + cost, latestFinish(team)));
+      team(team).fleetService().addRemote(requests);
     } finally {
       lock.unlock();
     }
@@ -213,16 +213,15 @@
     return best;
   }
 
-  private void charge(TeamId id, TeamBacklog<T> team) {
+  private void charge(TeamId id, TeamBacklog<T> team, long nowMilliseconds) {
     virtualTime = Math.max(virtualTime, team.virtualFinish());
-    double cost = team.serviceTime().meanMilliseconds() / share(id);
+    FleetServiceRatio fleetService = team.fleetService();
+    fleetService.age(nowMilliseconds);
+    fleetService.addLocal();
+    double cost = team.serviceTime().longMeanMilliseconds() * fleetService.ratio() / share(id);
     team.setVirtualFinish(team.virtualFinish() + cost);
   }
 
-  private double latestFinish(TeamId id) {
-    return virtualTime + settings.maximumLeadMilliseconds() / share(id);
-  }
-
   private TeamId teamWithLongestBacklog() {
     TeamId longest = null;
     double longestPart = -1;
--- a/decision/src/main/java/org/flamingochute/decision/admission/ServiceTimeEstimator.java
+++ b/decision/src/main/java/org/flamingochute/decision/admission/ServiceTimeEstimator.java
@@ -11,11 +11,13 @@
 
   private static final double MEAN_GAIN = 1.0 / 8;
   private static final double DEVIATION_GAIN = 1.0 / 4;
+  private static final int LONG_OBSERVATIONS = 512;
   private static final double DEVIATIONS = 2.0;
 
   private double meanMilliseconds;
+  private double longMeanMilliseconds;
   private double deviationMilliseconds;
-  private boolean observed;
+  private int observations;
 
   /**
    * Creates an estimator.
@@ -24,6 +26,7 @@
    */
   public ServiceTimeEstimator(double initialMilliseconds) {
     this.meanMilliseconds = initialMilliseconds;
+    this.longMeanMilliseconds = initialMilliseconds;
   }
 
   /** Takes one service time into account; a negative one is ignored. */
@@ -31,10 +34,11 @@
     if (milliseconds < 0) {
       return;
     }
-    if (!observed) {
+    observations = Math.min(observations + 1, LONG_OBSERVATIONS);
+    longMeanMilliseconds += (milliseconds - longMeanMilliseconds) / observations;
+    if (observations == 1) {
       meanMilliseconds = milliseconds;
       deviationMilliseconds = milliseconds / 2;
-      observed = true;
       return;
     }
     double error = milliseconds - meanMilliseconds;
@@ -47,6 +51,11 @@
     return meanMilliseconds;
   }
 
+  /** Returns the mean service time over many requests, in milliseconds. */
+  public double longMeanMilliseconds() {
+    return longMeanMilliseconds;
+  }
+
   /** Returns a service time in milliseconds that most requests do not exceed. */
   public double upperMilliseconds() {
     return meanMilliseconds + DEVIATIONS * deviationMilliseconds;
--- a/decision/src/main/java/org/flamingochute/decision/admission/TeamBacklog.java
+++ b/decision/src/main/java/org/flamingochute/decision/admission/TeamBacklog.java
@@ -16,6 +16,7 @@
   private final TreeSet<Waiting<T>> byDeadline = new TreeSet<>(Waiting.BY_DEADLINE);
   private final NavigableMap<Long, Waiting<T>> bySequence = new TreeMap<>();
   private final ServiceTimeEstimator serviceTime;
+  private final FleetServiceRatio fleetService = new FleetServiceRatio();
   private double virtualFinish;
 
   TeamBacklog(double initialServiceMilliseconds, double virtualFinish) {
@@ -88,6 +89,10 @@
     return serviceTime;
   }
 
+  FleetServiceRatio fleetService() {
+    return fleetService;
+  }
+
   double virtualFinish() {
     return virtualFinish;
   }
