--- a/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
+++ b/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
@@ -18,6 +18,7 @@
   SETTINGS_BAD_PATTERN(1006, "%s: section [%s]: key \"%s\": value \"%s\" does not match %s"),
   SETTINGS_MISSING_SECTION(1007, "%s: required section [%s] is missing"),
   SETTINGS_REPEATED(1008, "%s: section [%s]: \"%s\" is given twice"),
+  SETTINGS_BAD_NAME(1009, "%s: section [%s]: name \"%s\" does not match %s"),
 
   // Fleet descriptions, patches and the fold: 1100 to 1199.
   PATCH_STALE_BASE(1100, "patch %s is against version %s, but version %s is in force"),
@@ -39,6 +40,20 @@
   JOB_WRONG_PHASE(1115, "job %s is %s"),
   PLACER_STALE(1116, "placer epoch %s of pool %s is over, epoch %s holds"),
   ESCROW_STALE(1117, "escrow epoch %s of team %s is over, epoch %s holds"),
+  TEAM_UNKNOWN(1118, "team %s is not part of the fleet description"),
+  POOL_UNSUITABLE(1119, "pool %s cannot take it: %s"),
+  WAVE_HALTED(1120, "wave %s takes no step: %s"),
+  JOB_EXISTS(1121, "job %s exists already"),
+  JOB_KEY_USED(1122, "idempotency key %s of team %s belongs to job %s"),
+  WORKER_UNSUITABLE(1123, "worker %s cannot take job %s: %s"),
+  STEP_OUT_OF_ORDER(1124, "operation %s cannot take step %s after %s"),
+  RECORD_FIELD(1125, "record at offset %s: field %s: value \"%s\": %s"),
+  CLAIM_UNKNOWN(1126, "idempotency key %s of team %s is not claimed by %s"),
+  STATEMENT_NOT_DUE(1127, "no statement of holdings of %s is due"),
+  SNAPSHOT_REFUSED(1128, "snapshot part at offset %s: %s"),
+  MEMBER_EXISTS(1129, "incarnation %s has joined before"),
+  PATCH_REPEATED(1130, "patch id %s was used before by another patch"),
+  ESCROW_SUSPENDED(1130, "team %s starts nothing until its lower cap is settled"),
 
   // Requests and jobs at an entry: 1200 to 1299.
   KEY_MISSING(1200, "service %s needs a team's key"),
@@ -57,6 +72,36 @@
   BODY_TOO_LARGE(1213, "the body has more than %s bytes"),
   OPERATOR_UNKNOWN(1214, "operator %s is not known or the key is wrong"),
   OPERATOR_NOT_ALLOWED(1215, "operator %s may not patch the description"),
+
+  // The entry process and its interfaces: 1300 to 1399.
+  COMMAND_LINE(1300, "command line: %s; try --help"),
+  PATH_UNKNOWN(1301, "there is nothing at path \"%s\""),
+  METHOD_NOT_ALLOWED(1302, "method %s is not allowed at path \"%s\""),
+  BODY_MALFORMED(1303, "the body is not a %s: %s"),
+  ENTRY_STARTING(1304, "this entry is starting"),
+  ENTRY_FAILED(1305, "this entry failed: %s"),
+  PEER_SECRET_NEEDED(
+      1306, "section [peer]: key \"secret_file\": needed, since address %s is not loopback"),
+  FILE_UNREADABLE(1307, "section [%s]: key \"%s\": file \"%s\" cannot be read: %s"),
+  FILE_UNWRITABLE(1308, "section [%s]: key \"%s\": file \"%s\" cannot be written: %s"),
+  ADDRESS_UNUSABLE(1309, "section [%s]: key \"%s\": address \"%s\": %s"),
+  TLS_UNUSABLE(1310, "section [peer]: TLS cannot be set up: %s"),
+
+  // Stand-ins, load tool and the operators' command line: 1400 to 1499.
+  STAND_IN_CANNOT_LISTEN(1400, "address %s: cannot listen: %s"),
+  STAND_IN_BODY_MALFORMED(1401, "%s: the body cannot be read: %s"),
+  STAND_IN_UNKNOWN_INSTANCE(1402, "instance \"%s\" is not registered"),
+  STAND_IN_PARAMETER(1403, "%s: parameter \"%s\" has value \"%s\", which is not %s"),
+  STAND_IN_UNREACHABLE(1404, "%s at %s cannot be reached: %s"),
+  FILE_NOT_WRITABLE(1405, "%s: cannot be written: %s"),
+  TOOL_COMMAND_LINE(1406, "command line: %s"),
+  REPORT_MALFORMED(1407, "%s: the report cannot be read: %s"),
+  CONTROL_STALE_BASE(1408, "the patch is against version %s, but version %s is in force"),
+  CONTROL_UNREACHABLE(1409, "no answer from entry %s"),
+  CONTROL_UNKNOWN_OUTCOME(1410, "patch %s may or may not have taken effect: %s"),
+  CONTROL_KEY_ID_UNKNOWN(1411, "key \"%s\" is not granted"),
+  CONTROL_KEY_ID_TAKEN(1412, "key \"%s\" is granted already, to team %s"),
+  CONTROL_TEAM_UNKNOWN(1413, "team \"%s\" is not part of the description in force"),
   ;
 
   private final int number;
