--- a/engine/src/main/java/org/flamingochute/engine/GracefulStop.java
+++ b/engine/src/main/java/org/flamingochute/engine/GracefulStop.java
@@ -54,6 +54,10 @@
     logger.atInfo().log("event=stop_begun");
     parts.gate.announceStop();
     parts.maintenance.stop();
+    if (notice.isZero()) {
+      stopTakingWork();
+      return stopped;
+    }
     timers.schedule(notice, this::stopTakingWork);
     return stopped;
   }
