Let no lagging list bring a retired instance back

The fold marked a retired instance as gone but kept the age of its last observation, so a listing from before the retirement made it live again, and the pool seemed to have one too many. Ruled out: the stop guard (it counted what the table said) and the coordinator's plan. Change: retirement sets the age of the observation to the append time.

--- a/decision/src/main/java/org/flamingochute/decision/agreement/InstanceTable.java
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/InstanceTable.java
@@ -91,13 +91,19 @@
     }
   }
 
-  /** Marks an instance as gone before the platform's list says so, after it was retired. */
+  /**
+   * Marks an instance as gone before the platform's list says so, after it was retired. A listing
+   * that describes an earlier time can not bring it back.
+   */
   synchronized void retire(InstanceId id, FoldPosition position) {
     change(
         id,
         instance -> {
           InstanceImage.Builder retired = instance.toBuilder();
-          retired.getObservedBuilder().setState(InstanceState.INSTANCE_GONE);
+          retired
+              .getObservedBuilder()
+              .setState(InstanceState.INSTANCE_GONE)
+              .setAsOfMilliseconds(position.timeMilliseconds());
           return withGoneTime(retired.build(), position);
         });
   }
--- a/testsuite/src/test/java/org/flamingochute/testsuite/scenario/CallPlayer.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/CallPlayer.java
@@ -15,7 +15,6 @@
 import org.flamingochute.decision.identity.ServiceId;
 import org.flamingochute.engine.CallerOutcome;
 import org.flamingochute.engine.CallerRequest;
-import org.flamingochute.schema.AuditEntry;
 import org.flamingochute.schema.JobImage;
 import org.flamingochute.schema.JobSubmissionBody;
 import org.flamingochute.schema.ResourceAmount;
@@ -283,12 +282,4 @@
       world.journal.add(new Observation.JobsCancelled(world.clock.nowMilliseconds(), tags));
     }
   }
-
-  /** Returns the result of a patch as an observation. */
-  static Observation patchObservation(
-      long now, String name, Either<ErrorReport, AuditEntry> result) {
-    return result.fold(
-        report -> new Observation.PatchFailed(now, name, report.toString()),
-        entry -> new Observation.PatchAnswered(now, name, entry));
-  }
 }
--- a/testsuite/src/test/java/org/flamingochute/testsuite/scenario/PatchPlayer.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/PatchPlayer.java
@@ -1,13 +1,11 @@
 package org.flamingochute.testsuite.scenario;
 
 import io.vavr.control.Either;
-import java.util.List;
 import org.flamingochute.decision.error.ErrorReport;
 import org.flamingochute.schema.AuditEntry;
 import org.flamingochute.schema.FleetPatch;
 import org.flamingochute.schema.SettingChange;
 import org.flamingochute.testsuite.observation.Observation;
-import org.flamingochute.testsuite.promise.Declarations;
 
 /**
  * Plays what operators do. A change is written {@code kind/name/key:value}, a removal {@code
@@ -18,11 +16,9 @@
   private static final String REMOVAL = "remove:";
 
   private final ScenarioWorld world;
-  private final Declarations declarations;
 
-  PatchPlayer(ScenarioWorld world, Declarations declarations) {
+  PatchPlayer(ScenarioWorld world) {
     this.world = world;
-    this.declarations = declarations;
   }
 
   /** Schedules a command when it is an operator's; returns false for another's. */
@@ -56,9 +52,7 @@
                     .node()
                     .patch(operatorKey, patch.build())
                     .thenAccept(
-                        result ->
-                            world.clock.after(
-                                1, () -> ended(command.word(0), patch.build(), result))));
+                        result -> world.clock.after(1, () -> ended(command.word(0), result))));
   }
 
   private static SettingChange change(ScenarioCommand command, String word) {
@@ -77,14 +71,11 @@
     return change.setKey(keyAndValue[0]).setValue(value).build();
   }
 
-  private void ended(String name, FleetPatch patch, Either<ErrorReport, AuditEntry> result) {
+  private void ended(String name, Either<ErrorReport, AuditEntry> result) {
     long now = world.clock.nowMilliseconds();
-    Observation observation = CallPlayer.patchObservation(now, name, result);
-    world.journal.add(observation);
-    if (observation instanceof Observation.PatchAnswered answered
-        && answered.entry().getAccepted()) {
-      List<SettingChange> changes = patch.getChangesList();
-      changes.forEach(change -> declarations.accepted(now, change));
-    }
+    world.journal.add(
+        result.fold(
+            report -> new Observation.PatchFailed(now, name, report.toString()),
+            entry -> new Observation.PatchAnswered(now, name, entry)));
   }
 }
--- a/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioRunner.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioRunner.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import org.flamingochute.decision.agreement.AgreedView;
 import org.flamingochute.schema.AgreedStateImage;
+import org.flamingochute.schema.AuditEntry;
 import org.flamingochute.schema.EntrySettings;
 import org.flamingochute.schema.JobImage;
 import org.flamingochute.schema.LogRecord;
@@ -44,16 +45,35 @@
     FaultPlayer faults = new FaultPlayer(world);
     faults.schedule(scenario.faults());
     CallPlayer calls = new CallPlayer(world);
-    PatchPlayer patches = new PatchPlayer(world, declarations);
+    PatchPlayer patches = new PatchPlayer(world);
     for (ScenarioCommand command : scenario.calls()) {
       if (!calls.schedule(command) && !patches.schedule(command)) {
         throw command.error("unknown call \"" + command.verb() + "\"");
       }
     }
     world.clock.runUntil(scenario.header().durationMilliseconds());
+    declareAccepted(world, declarations);
     return evidence(scenario, world, declarations, faults);
   }
 
+  /**
+   * Takes over the patches that came into force, at the times of their appends, from the audit
+   * trail of the entry that has read most. A patch whose answer was lost is among them.
+   */
+  private static void declareAccepted(ScenarioWorld world, Declarations declarations) {
+    List<AuditEntry> trail = List.of();
+    for (SimulatedEntry entry : world.entries()) {
+      List<AuditEntry> other = entry.node().agreed().audit();
+      trail = other.size() > trail.size() ? other : trail;
+    }
+    for (AuditEntry audited : trail) {
+      if (audited.getAccepted() && audited.getBaseVersion() > 0) {
+        long at = audited.getTimeMilliseconds() - VirtualClock.START_WALL_MILLISECONDS;
+        audited.getChangesList().forEach(change -> declarations.accepted(at, change));
+      }
+    }
+  }
+
   private static Evidence evidence(
       ScenarioDescriptor scenario,
       ScenarioWorld world,
--- a/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedPlatform.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/simulation/SimulatedPlatform.java
@@ -112,7 +112,7 @@
       }
       found = listing;
     }
-    return found;
+    return found.toBuilder().setAsOfMilliseconds(asOf).build();
   }
 
   /** Returns the instance list as a process reaches it. */
