--- a/engine/src/main/java/org/flamingochute/engine/EntryNodeParts.java
+++ b/engine/src/main/java/org/flamingochute/engine/EntryNodeParts.java
@@ -125,6 +125,7 @@
   }
 
   private void connect() {
+    freshness.setListedGone(listObserver::isListedGone);
     agreed.addListener(ledger);
     agreed.addListener(requests.claimListener());
     agreed.addListener(appender);
@@ -207,7 +208,7 @@
   private EndpointTable newEndpoints() {
     LeastLoadedOfTwoChooser chooser =
         new LeastLoadedOfTwoChooser(random, outliers, () -> agreed.members().size());
-    return new EndpointTable(agreed, chooser);
+    return new EndpointTable(agreed, chooser, listObserver::isListedLeaving);
   }
 
   private RequestService newRequests() {
--- a/engine/src/main/java/org/flamingochute/engine/log/FreshnessMonitor.java
+++ b/engine/src/main/java/org/flamingochute/engine/log/FreshnessMonitor.java
@@ -1,8 +1,10 @@
 package org.flamingochute.engine.log;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.flamingochute.decision.agreement.AgreedView;
 import org.flamingochute.decision.identity.Incarnation;
 import org.flamingochute.platform.Timers;
@@ -15,10 +17,10 @@
  *
  * <ul>
  *   <li>it read the log up to its end; the proof is as old as the call that reached the end;
- *   <li>it heard from a majority of the other members, and none of those has folded a later offset.
- *       The proof of hearing a peer is as old as the newest gossip of our own that the peer had
- *       received when it wrote, so that frames which waited in a socket while this process was
- *       paused prove nothing.
+ *   <li>it heard from a majority of the other members that the platform does not list as gone, and
+ *       none of those has folded a later offset. The proof of hearing a peer is as old as the
+ *       newest gossip of our own that the peer had received when it wrote, so that frames which
+ *       waited in a socket while this process was paused prove nothing.
  * </ul>
  *
  * <p>Both ages are measured on the monotonic clock. A process that was paused for longer than the
@@ -37,6 +39,7 @@
   private final Timers timers;
   private final Incarnation self;
   private final long limitMilliseconds;
+  private volatile Predicate<Incarnation> listedGone = incarnation -> false;
   private final Map<Incarnation, Heard> heard = new HashMap<>();
   private long logEndMilliseconds = NEVER;
 
@@ -53,6 +56,14 @@
     this.limitMilliseconds = limitMilliseconds;
   }
 
+  /**
+   * Sets what tells that the platform lists a member as gone. Such a member does not count among
+   * the others, since it can not know anything newer.
+   */
+  public void setListedGone(Predicate<Incarnation> predicate) {
+    listedGone = predicate;
+  }
+
   /** Returns the greatest age of a proof in milliseconds: the setting, or the fleet's if lower. */
   public long limitMilliseconds() {
     long ofFleet = agreed.description().getFleet().getMaximumFreshnessMilliseconds();
@@ -125,17 +136,11 @@
   }
 
   private boolean isFreshByPeers() {
-    List<MemberImage> members = agreed.members();
+    List<Incarnation> others = presentOthers();
     long offset = agreed.offset();
     synchronized (this) {
-      int others = 0;
       int heardOthers = 0;
-      for (MemberImage member : members) {
-        Incarnation incarnation = new Incarnation(member.getJoined().getIncarnation());
-        if (incarnation.equals(self)) {
-          continue;
-        }
-        others++;
+      for (Incarnation incarnation : others) {
         Heard last = heard.get(incarnation);
         if (last == null || !isWithinLimit(last.milliseconds())) {
           continue;
@@ -145,8 +150,19 @@
         }
         heardOthers++;
       }
-      return heardOthers * 2 > others;
+      return heardOthers * 2 > others.size();
+    }
+  }
+
+  private List<Incarnation> presentOthers() {
+    List<Incarnation> others = new ArrayList<>();
+    for (MemberImage member : agreed.members()) {
+      Incarnation incarnation = new Incarnation(member.getJoined().getIncarnation());
+      if (!incarnation.equals(self) && !listedGone.test(incarnation)) {
+        others.add(incarnation);
+      }
     }
+    return others;
   }
 
   private boolean isWithinLimit(long provenMilliseconds) {
--- a/engine/src/main/java/org/flamingochute/engine/membership/ListObserver.java
+++ b/engine/src/main/java/org/flamingochute/engine/membership/ListObserver.java
@@ -94,6 +94,51 @@
     return newest;
   }
 
+  /**
+   * Tells whether the newest listing shows a member as gone. This needs no log: a member that is
+   * gone can not know more of the log than others.
+   */
+  public boolean isListedGone(Incarnation incarnation) {
+    InstanceListing listing = newest;
+    if (!isOlderThan(incarnation, listing)) {
+      return false;
+    }
+    Optional<String> instance = instanceOf(incarnation);
+    for (ListedInstance listed : listing.getInstancesList()) {
+      if (instance.isPresent() && instance.get().equals(listed.getInstance())) {
+        return !evidence(incarnation, listed).isEmpty();
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Tells whether the newest listing shows an instance as leaving or gone. While the log is down no
+   * record can say so.
+   */
+  public boolean isListedLeaving(InstanceImage instance) {
+    InstanceListing listing = newest;
+    if (listing.getAsOfMilliseconds() <= instance.getObserved().getAsOfMilliseconds()) {
+      return false;
+    }
+    for (ListedInstance listed : listing.getInstancesList()) {
+      if (listed.getInstance().equals(instance.getObserved().getInstance())) {
+        return listed.getState() == InstanceState.INSTANCE_LEAVING
+            || listed.getState() == InstanceState.INSTANCE_GONE;
+      }
+    }
+    return false;
+  }
+
+  private Optional<String> instanceOf(Incarnation incarnation) {
+    for (MemberImage member : agreed.members()) {
+      if (member.getJoined().getIncarnation().equals(incarnation.value())) {
+        return Optional.of(member.getJoined().getInstance());
+      }
+    }
+    return Optional.empty();
+  }
+
   @Override
   public synchronized void memberJoined(Incarnation incarnation) {
     joinedMilliseconds.put(incarnation, agreed.timeMilliseconds());
@@ -151,7 +196,10 @@
     InstanceObserved seen = observation(listed, asOfMilliseconds);
     Optional<InstanceImage> known = agreed.instance(new InstanceId(listed.getInstance()));
     boolean isNew = known.isEmpty() && seen.getState() != InstanceState.INSTANCE_GONE;
-    boolean isChanged = known.isPresent() && !isSame(known.get().getObserved(), seen);
+    boolean isChanged =
+        known.isPresent()
+            && !isSame(known.get().getObserved(), seen)
+            && !isOlderThanRetirement(known.get(), seen);
     if ((!isNew && !isChanged) || !begin(seen)) {
       return;
     }
@@ -163,6 +211,12 @@
         .thenAccept(outcome -> end(seen));
   }
 
+  /** The list lags: for a while it still shows an instance that was retired as live. */
+  private static boolean isOlderThanRetirement(InstanceImage known, InstanceObserved seen) {
+    return known.getObserved().getState() == InstanceState.INSTANCE_GONE
+        && seen.getAsOfMilliseconds() <= known.getGoneMilliseconds();
+  }
+
   /** The first pool matters only for an instance that is not yet known, the time for none. */
   private static boolean isSame(InstanceObserved known, InstanceObserved seen) {
     return withoutTimeAndPool(known).equals(withoutTimeAndPool(seen));
--- a/engine/src/main/java/org/flamingochute/engine/request/EndpointTable.java
+++ b/engine/src/main/java/org/flamingochute/engine/request/EndpointTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.flamingochute.decision.agreement.AgreedView;
 import org.flamingochute.decision.dispatch.EndpointChooser;
 import org.flamingochute.decision.dispatch.EndpointLoad;
@@ -32,14 +33,22 @@
 
   private final AgreedView agreed;
   private final EndpointChooser chooser;
+  private final Predicate<InstanceImage> listedLeaving;
   private final Map<InstanceId, Long> busyUntilMilliseconds = new HashMap<>();
   private final Map<InstanceId, Integer> ownInFlight = new HashMap<>();
   private final Map<Incarnation, Map<InstanceId, Integer>> remoteInFlight = new HashMap<>();
 
-  /** Creates a table without requests in flight. */
-  public EndpointTable(AgreedView agreed, EndpointChooser chooser) {
+  /**
+   * Creates a table without requests in flight.
+   *
+   * @param listedLeaving tells whether the newest instance list shows an instance as leaving, which
+   *     counts before a record says so
+   */
+  public EndpointTable(
+      AgreedView agreed, EndpointChooser chooser, Predicate<InstanceImage> listedLeaving) {
     this.agreed = agreed;
     this.chooser = chooser;
+    this.listedLeaving = listedLeaving;
   }
 
   /**
@@ -126,7 +135,8 @@
       return found;
     }
     for (InstanceImage instance : agreed.instances(new PoolId(section.getPool()))) {
-      if (!instance.hasStop() && instance.getObserved().getState() == InstanceState.INSTANCE_LIVE) {
+      boolean isLive = instance.getObserved().getState() == InstanceState.INSTANCE_LIVE;
+      if (isLive && !instance.hasStop() && !listedLeaving.test(instance)) {
         found.add(instance);
       }
     }
