Leave time for the record of leaving in a graceful stop

Cause: the node may use stop_milliseconds whole for work in flight and only then appends that it left; the process gave up at the same moment.

--- a/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
+++ b/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
@@ -34,6 +34,7 @@
 import org.flamingochute.platform.http.HttpPoolControl;
 import org.flamingochute.platform.http.HttpWorkerControl;
 import org.flamingochute.platform.http.LogLimits;
+import org.flamingochute.schema.TimingSection;
 
 /**
  * One entry with everything that it runs on: event loops, clients, peers, timers and the node.
@@ -56,6 +57,10 @@
       "io.activej.http.HttpMessage.maxHeaderLineSize";
 
   private static final long LINGER_MILLISECONDS = 500;
+
+  /** Time beyond the limit on work in flight for the record that the entry left. */
+  private static final long LEAVE_MILLISECONDS = 2000;
+
   private static final int INCARNATION_BYTES = 8;
 
   private final ResolvedSettings resolved;
@@ -266,7 +271,10 @@
   }
 
   private void stopNode() {
-    long milliseconds = resolved.settings().getTiming().getStopMilliseconds();
+    TimingSection timing = resolved.settings().getTiming();
+    long milliseconds =
+        Math.max(timing.getStopMilliseconds(), timing.getStopNoticeMilliseconds())
+            + LEAVE_MILLISECONDS;
     try {
       node.get()
           .ifPresent(
