Make a peer connection anew when the other side is silent

Cause: frames go one way, so after a long network cut nothing but TCP's own retransmission, which backs off to minutes, would find out that the path works again, while an entry that hears no peers takes no work during a log outage. The accepting side sends a sealed heartbeat five times within the limit of 5 s; the opening side closes a connection without them and opens another. Ruled out: TCP keep-alive, which does not run while data is unacknowledged, and the user timeout, which Java's sockets do not offer.

NettyPeerTransportTest covers the silent peer, the quiet but living one, and an answer that is more than a heartbeat.

--- a/entry/src/main/java/org/flamingochute/entry/peer/HandshakeTranscript.java
+++ b/entry/src/main/java/org/flamingochute/entry/peer/HandshakeTranscript.java
@@ -13,7 +13,7 @@
  * the server answers with the same over the word {@code server}. Since each side chose a fresh
  * nonce, an old proof is useless; since the roles differ, a side can not be made to produce the
  * proof that it waits for; and the server proves nothing to a client that has not proved itself.
- * The word {@code session} gives the key that seals the frames that follow.
+ * Two more words give the keys that seal the frames that follow in each direction.
  *
  * @param clientName incarnation of the side that opened the connection
  * @param serverName incarnation of the side that accepted it
@@ -30,7 +30,8 @@
 
   private static final String CLIENT = "client";
   private static final String SERVER = "server";
-  private static final String SESSION = "session";
+  private static final String CLIENT_FRAMES = "client frames";
+  private static final String SERVER_FRAMES = "server frames";
 
   /** Returns the proof of the client. */
   byte[] clientProof(PeerSecret secret) {
@@ -42,9 +43,14 @@
     return code(secret, SERVER);
   }
 
-  /** Returns the key for the frames after the handshake. */
-  PeerSecret sessionKey(PeerSecret secret) {
-    return PeerSecret.of(code(secret, SESSION));
+  /** Returns the seal of the frames that the client sends after the handshake. */
+  FrameSeal clientSeal(PeerSecret secret) {
+    return new FrameSeal(PeerSecret.of(code(secret, CLIENT_FRAMES)));
+  }
+
+  /** Returns the seal of the frames that the server sends after the handshake. */
+  FrameSeal serverSeal(PeerSecret secret) {
+    return new FrameSeal(PeerSecret.of(code(secret, SERVER_FRAMES)));
   }
 
   /** Compares proofs in a time that does not depend on where they differ. */
--- a/entry/src/main/java/org/flamingochute/entry/peer/IncomingPeerHandler.java
+++ b/entry/src/main/java/org/flamingochute/entry/peer/IncomingPeerHandler.java
@@ -2,22 +2,38 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.ChannelHandlerContext;
+import java.util.concurrent.TimeUnit;
 import org.flamingochute.platform.PeerTransport.PeerFrameListener;
 import org.flamingochute.schema.PeerFrame;
 
-/** The accepting end of a connection: checks the peer, then hands its frames to the listener. */
+/**
+ * The accepting end of a connection: checks the peer, then hands its frames to the listener.
+ *
+ * <p>It sends heartbeats, frames without a body. Without them the other end could not tell a
+ * network that lost its frames from one that is merely quiet, and after a long cut TCP alone may
+ * take minutes to try again.
+ */
 final class IncomingPeerHandler extends PeerHandler {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  private static final int HEARTBEATS_WITHIN_LIMIT = 5;
+
   private final PeerFrameDecoder decoder;
+  private final PeerFrameEncoder encoder;
+  private final long heartbeatMilliseconds;
   private final int maximumFrameBytes;
   private final PeerFrameListener listener;
   private HandshakeTranscript transcript;
 
   IncomingPeerHandler(
-      PeerTransportSettings settings, PeerFrameDecoder decoder, PeerFrameListener listener) {
+      PeerTransportSettings settings,
+      PeerFrameDecoder decoder,
+      PeerFrameEncoder encoder,
+      PeerFrameListener listener) {
     super(settings.ownName(), settings.secret(), settings.metrics());
     this.decoder = decoder;
+    this.encoder = encoder;
+    this.heartbeatMilliseconds = settings.silenceLimit().toMillis() / HEARTBEATS_WITHIN_LIMIT;
     this.maximumFrameBytes = settings.maximumFrameBytes();
     this.listener = listener;
   }
@@ -47,8 +63,20 @@
       return;
     }
     establish();
-    decoder.open(new FrameSeal(transcript.sessionKey(secret())), maximumFrameBytes);
+    decoder.open(transcript.clientSeal(secret()), maximumFrameBytes);
     context.writeAndFlush(proofFrame(transcript.serverProof(secret())));
+    encoder.open(transcript.serverSeal(secret()));
+    beat(context);
+  }
+
+  private void beat(ChannelHandlerContext context) {
+    if (!context.channel().isActive()) {
+      return;
+    }
+    if (context.channel().isWritable()) {
+      context.writeAndFlush(PeerFrame.newBuilder().setSender(ownName()).build());
+    }
+    context.executor().schedule(() -> beat(context), heartbeatMilliseconds, TimeUnit.MILLISECONDS);
   }
 
   private void receive(PeerFrame frame) {
--- a/entry/src/main/java/org/flamingochute/entry/peer/NettyPeerTransport.java
+++ b/entry/src/main/java/org/flamingochute/entry/peer/NettyPeerTransport.java
@@ -96,14 +96,16 @@
       return;
     }
     PeerFrameDecoder decoder = new PeerFrameDecoder();
+    PeerFrameEncoder encoder = new PeerFrameEncoder();
     addTls(channel, settings.serverTls());
     channel
         .pipeline()
         .addLast(new IdleStateHandler(IDLE_SECONDS, 0, 0))
         .addLast(decoder)
-        .addLast(new PeerFrameEncoder())
+        .addLast(encoder)
         .addLast(
-            new IncomingPeerHandler(settings, decoder, frame -> listener.frameReceived(frame)));
+            new IncomingPeerHandler(
+                settings, decoder, encoder, frame -> listener.frameReceived(frame)));
   }
 
   private static void addTls(SocketChannel channel, Optional<SslContext> context) {
@@ -121,17 +123,24 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                PeerFrameEncoder encoder = new PeerFrameEncoder();
-                addTls(channel, settings.clientTls());
-                channel
-                    .pipeline()
-                    .addLast(new PeerFrameDecoder())
-                    .addLast(encoder)
-                    .addLast(new OutgoingPeerHandler(settings, encoder, connection));
+                initialize(channel, connection);
               }
             });
   }
 
+  private void initialize(SocketChannel channel, PeerConnection connection) {
+    PeerFrameDecoder decoder = new PeerFrameDecoder();
+    PeerFrameEncoder encoder = new PeerFrameEncoder();
+    addTls(channel, settings.clientTls());
+    long silenceMilliseconds = settings.silenceLimit().toMillis();
+    channel
+        .pipeline()
+        .addLast(new IdleStateHandler(silenceMilliseconds, 0, 0, TimeUnit.MILLISECONDS))
+        .addLast(decoder)
+        .addLast(encoder)
+        .addLast(new OutgoingPeerHandler(settings, decoder, encoder, connection));
+  }
+
   @Override
   public void send(String peerAddress, PeerFrame frame) {
     if (closed) {
--- a/entry/src/main/java/org/flamingochute/entry/peer/OutgoingPeerHandler.java
+++ b/entry/src/main/java/org/flamingochute/entry/peer/OutgoingPeerHandler.java
@@ -5,13 +5,18 @@
 
 /** The opening end of a connection: proves itself, checks the peer, then the link may write. */
 final class OutgoingPeerHandler extends PeerHandler {
+  private final PeerFrameDecoder decoder;
   private final PeerFrameEncoder encoder;
   private final PeerConnection connection;
   private HandshakeTranscript transcript;
 
   OutgoingPeerHandler(
-      PeerTransportSettings settings, PeerFrameEncoder encoder, PeerConnection connection) {
+      PeerTransportSettings settings,
+      PeerFrameDecoder decoder,
+      PeerFrameEncoder encoder,
+      PeerConnection connection) {
     super(settings.ownName(), settings.secret(), settings.metrics());
+    this.decoder = decoder;
     this.encoder = encoder;
     this.connection = connection;
   }
@@ -25,9 +30,8 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
     if (isEstablished()) {
-      throw new MalformedFrameException("a frame came back on a connection of one direction");
-    }
-    if (transcript == null) {
+      receiveHeartbeat(frame);
+    } else if (transcript == null) {
       receiveHello(context, frame);
     } else {
       receiveProof(context, frame);
@@ -48,10 +52,17 @@
       return;
     }
     establish();
-    encoder.open(new FrameSeal(transcript.sessionKey(secret())));
+    decoder.open(transcript.serverSeal(secret()), PeerFrameDecoder.HANDSHAKE_FRAME_BYTES);
+    encoder.open(transcript.clientSeal(secret()));
     connection.established(context.channel());
   }
 
+  private static void receiveHeartbeat(PeerFrame frame) {
+    if (frame.getBodyCase() != PeerFrame.BodyCase.BODY_NOT_SET) {
+      throw new MalformedFrameException("a frame came back on a connection of one direction");
+    }
+  }
+
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) throws Exception {
     connection.flush();
--- a/entry/src/main/java/org/flamingochute/entry/peer/PeerTransportSettings.java
+++ b/entry/src/main/java/org/flamingochute/entry/peer/PeerTransportSettings.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.handler.ssl.SslContext;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Optional;
 
 /** Everything that a transport is built from. */
@@ -12,6 +13,7 @@
   private final Optional<byte[]> secretContent;
   private final int maximumFrameBytes;
   private final Optional<PeerTls> tls;
+  private final Duration silenceLimit;
   private final PeerMetrics metrics;
 
   private PeerTransportSettings(Builder builder) {
@@ -20,6 +22,7 @@
     secretContent = builder.secret;
     maximumFrameBytes = builder.maximumFrameBytes;
     tls = builder.tls;
+    silenceLimit = builder.silenceLimit;
     metrics = new PeerMetrics(builder.registry);
   }
 
@@ -57,6 +60,11 @@
     return tls.map(PeerTls::client);
   }
 
+  /** Returns the time without a heartbeat after which an opened connection is made anew. */
+  Duration silenceLimit() {
+    return silenceLimit;
+  }
+
   PeerMetrics metrics() {
     return metrics;
   }
@@ -68,6 +76,7 @@
     private Optional<byte[]> secret = Optional.empty();
     private int maximumFrameBytes = 4 << 20;
     private Optional<PeerTls> tls = Optional.empty();
+    private Duration silenceLimit = Duration.ofSeconds(5);
     private MetricRegistry registry;
 
     private Builder() {}
@@ -102,6 +111,15 @@
       return this;
     }
 
+    /**
+     * Sets the time without a heartbeat of the other side after which an opened connection is made
+     * anew; the heartbeats come five times as often.
+     */
+    public Builder silenceLimit(Duration value) {
+      silenceLimit = value;
+      return this;
+    }
+
     /** Sets the registry that metrics are counted in. */
     public Builder registry(MetricRegistry value) {
       registry = value;
--- a/entry/src/test/java/org/flamingochute/entry/peer/NettyPeerTransportTest.java
+++ b/entry/src/test/java/org/flamingochute/entry/peer/NettyPeerTransportTest.java
@@ -14,7 +14,9 @@
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -34,6 +36,8 @@
 class NettyPeerTransportTest {
   private static final int FRAME_LIMIT = 1 << 20;
   private static final int ATTEMPTS = 100;
+  private static final Duration SILENCE_LIMIT = Duration.ofMillis(2000);
+  private static final byte[] SECRET = "s".getBytes(StandardCharsets.UTF_8);
 
   private final List<NettyPeerTransport> transports = new ArrayList<>();
   private final MetricRegistry registry = new MetricRegistry();
@@ -63,6 +67,7 @@
                 .secret(Optional.ofNullable(secret).map(s -> s.getBytes(StandardCharsets.UTF_8)))
                 .maximumFrameBytes(FRAME_LIMIT)
                 .tls(tls)
+                .silenceLimit(SILENCE_LIMIT)
                 .registry(registry)
                 .build());
     transports.add(transport);
@@ -163,6 +168,56 @@
     }
   }
 
+  @Test
+  void silentPeerIsConnectedAnew() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+      NettyPeerTransport from = transport("a-1", 0, "s", null);
+      String address = "127.0.0.1:" + server.getLocalPort();
+      from.send(address, RawPeer.gossip("a-1", "b-1", 1));
+      try (RawPeer silent = new RawPeer(server.accept(), PeerSecret.of(SECRET))) {
+        silent.acceptHandshake();
+        assertThat(silent.isClosedByOther(), is(true));
+      }
+      from.send(address, RawPeer.gossip("a-1", "b-1", 2));
+      server.accept().close();
+    }
+  }
+
+  @Test
+  void heartbeatsKeepTheConnection() throws Exception {
+    NettyPeerTransport from = transport("a-1", 0, "s", null);
+    NettyPeerTransport to = transport("b-1", 0, "s", null);
+    String address = text(to.listen());
+    assertThat(sendUntilReceived(from, address, ATTEMPTS), notNullValue());
+    received.clear();
+    Thread.sleep(SILENCE_LIMIT.toMillis() * 3 / 2);
+    from.send(address, RawPeer.gossip("a-1", "b-1", 99));
+    PeerFrame frame = received.poll(5, TimeUnit.SECONDS);
+    assertThat(frame.getGossip().getSequence(), equalTo(99L));
+    assertThat(registry.counter("peer.frames_dropped").getCount(), equalTo(0L));
+  }
+
+  static Stream<Arguments> unwantedAnswers() {
+    byte[] gossip = RawPeer.gossip(RawPeer.NAME, "a-1", 1).toByteArray();
+    return Stream.of(arguments("frame with a body", gossip), arguments("large", new byte[1500]));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("unwantedAnswers")
+  void connectionOnWhichMoreThanHeartbeatsComeBackIsClosed(String name, byte[] answer)
+      throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+      NettyPeerTransport from = transport("a-1", 0, "s", null);
+      from.send("127.0.0.1:" + server.getLocalPort(), RawPeer.gossip("a-1", "b-1", 1));
+      try (RawPeer peer = new RawPeer(server.accept(), PeerSecret.of(SECRET))) {
+        peer.acceptHandshake();
+        peer.writeSealed(answer);
+        assertThat(peer.isClosedByOther(), is(true));
+      }
+      assertThat(registry.counter("peer.malformed_frames").getCount(), equalTo(1L));
+    }
+  }
+
   static Stream<Arguments> unsendable() {
     byte[] large = new byte[FRAME_LIMIT];
     PeerFrame small = RawPeer.gossip("a-1", "", 1);
--- a/entry/src/test/java/org/flamingochute/entry/peer/RawPeer.java
+++ b/entry/src/test/java/org/flamingochute/entry/peer/RawPeer.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.concurrent.TimeUnit;
 import org.flamingochute.schema.Gossip;
 import org.flamingochute.schema.PeerFrame;
 import org.flamingochute.schema.PeerHello;
@@ -25,8 +26,13 @@
   FrameSeal seal;
 
   RawPeer(InetSocketAddress address, PeerSecret secret) throws IOException {
+    this(new Socket(address.getAddress(), address.getPort()), secret);
+  }
+
+  /** Creates a peer on a connected socket. */
+  RawPeer(Socket socket, PeerSecret secret) throws IOException {
     this.secret = secret;
-    socket = new Socket(address.getAddress(), address.getPort());
+    this.socket = socket;
     socket.setSoTimeout(TIMEOUT_MILLISECONDS);
     input = new DataInputStream(socket.getInputStream());
     output = new DataOutputStream(socket.getOutputStream());
@@ -96,16 +102,31 @@
     greet();
     write(proof(transcript.clientProof(secret)));
     read();
-    seal = new FrameSeal(transcript.sessionKey(secret));
+    seal = transcript.clientSeal(secret);
+  }
+
+  /** Does the whole handshake as the accepting side. */
+  void acceptHandshake() throws IOException {
+    PeerFrame hello = read();
+    write(hello(NAME, HandshakeTranscript.PROTOCOL_VERSION, nonce));
+    transcript =
+        new HandshakeTranscript(
+            hello.getSender(), NAME, hello.getHello().getNonce().toByteArray(), nonce);
+    read();
+    write(proof(transcript.serverProof(secret)));
+    seal = transcript.serverSeal(secret);
   }
 
-  /** Waits until the other side closes the connection. */
+  /** Waits until the other side closes the connection, reading its heartbeats. */
   boolean isClosedByOther() {
+    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLISECONDS);
     try {
-      while (input.read() >= 0) {
-        continue;
+      while (System.nanoTime() < deadline) {
+        if (input.read() < 0) {
+          return true;
+        }
       }
-      return true;
+      return false;
     } catch (java.net.SocketTimeoutException e) {
       return false;
     } catch (IOException e) {
