--- a/decision/src/test/java/org/flamingochute/decision/agreement/LogFixture.java
+++ b/decision/src/test/java/org/flamingochute/decision/agreement/LogFixture.java
@@ -34,7 +34,9 @@
 /** A log in memory that folds each record as it is appended, one millisecond after the other. */
 public final class LogFixture {
 
+  /** The state at the end of the log. */
   public final AgreedState state = AgreedState.empty();
+
   private long nextOffset;
   private long timeMilliseconds = 1_000_000;
   private int nextId;
@@ -48,17 +50,17 @@
     return log;
   }
 
-  /** Moves the append time on. */
+  /** Lets time pass. */
   public void advance(long milliseconds) {
     timeMilliseconds += milliseconds;
   }
 
-  /** Returns the append time of the next record. */
+  /** Returns the time of the next record. */
   public long timeMilliseconds() {
     return timeMilliseconds;
   }
 
-  /** Appends a record and returns what the fold made of it. */
+  /** Appends and folds a record; one without an id gets one. */
   public FoldResult append(LogRecord.Builder record) {
     if (record.getRecordId().isEmpty()) {
       record.setRecordId("r" + nextId++);
@@ -66,17 +68,17 @@
     return appendBytes(record.setFormatVersion(AgreedState.FORMAT_VERSION).build().toByteArray());
   }
 
-  /** Appends bytes that need not be a record. */
+  /** Appends and folds the bytes of a record. */
   public FoldResult appendBytes(byte[] record) {
     return state.apply(nextOffset++, timeMilliseconds++, record);
   }
 
-  /** Appends a patch against the version in force. */
+  /** Appends a patch by the operator ana at the version in force. */
   public FoldResult patch(SettingChange... changes) {
     return append(patchAt(state.description().getVersion(), "ana", List.of(changes)));
   }
 
-  /** Appends a patch against a version. */
+  /** Returns a patch with a new id. */
   public LogRecord.Builder patchAt(long base, String operator, List<SettingChange> changes) {
     return LogRecord.newBuilder()
         .setPatch(
@@ -87,7 +89,7 @@
                 .addAllChanges(changes));
   }
 
-  /** Appends the first description. */
+  /** Returns the patch that puts the description into force. */
   public static LogRecord.Builder firstPatch() {
     List<SettingChange> changes =
         FleetDifference.between(FleetDescription.getDefaultInstance(), FleetFixture.description());
@@ -99,34 +101,34 @@
                 .addAllChanges(changes));
   }
 
-  /** Lets a member join. */
+  /** Returns a record with which a member joins. */
   public static LogRecord.Builder join(String member) {
     return LogRecord.newBuilder()
         .setMemberJoined(
             MemberJoined.newBuilder().setIncarnation(member).setInstance("entry-" + member));
   }
 
-  /** Lets a member leave. */
+  /** Returns a record with which a member leaves. */
   public static LogRecord.Builder leave(String member) {
     return LogRecord.newBuilder().setMemberLeft(MemberLeft.newBuilder().setIncarnation(member));
   }
 
-  /** Reports a member as gone. */
+  /** Returns a record of a member that is gone. */
   public static LogRecord.Builder gone(String member) {
     return LogRecord.newBuilder().setMemberGone(MemberGone.newBuilder().setIncarnation(member));
   }
 
-  /** Appends a record that only carries time. */
+  /** Returns a record without effect of its own. */
   public static LogRecord.Builder tick() {
     return LogRecord.newBuilder().setTick(Tick.getDefaultInstance());
   }
 
-  /** Appends a statement of holdings. */
+  /** Returns a record with a statement of holdings. */
   public static LogRecord.Builder statement(HoldingsStated statement) {
     return LogRecord.newBuilder().setHoldingsStated(statement);
   }
 
-  /** Claims an idempotency key. */
+  /** Returns a claim of an idempotency key. */
   public static LogRecord.Builder claim(String team, String key, String member, String digest) {
     return LogRecord.newBuilder()
         .setIdempotencyClaimed(
@@ -137,7 +139,7 @@
                 .setRequestDigest(digest));
   }
 
-  /** Settles a claim. */
+  /** Returns the end of a claim. */
   public static LogRecord.Builder settle(String team, String key, String member, Outcome outcome) {
     return LogRecord.newBuilder()
         .setIdempotencySettled(
@@ -148,7 +150,7 @@
                 .setOutcome(outcome));
   }
 
-  /** Returns a job to submit. */
+  /** Returns a job of the team shop for the pool prints. */
   public static JobSubmitted.Builder job(String job, boolean idempotent) {
     return JobSubmitted.newBuilder()
         .setJob(job)
@@ -157,18 +159,18 @@
         .setIdempotent(idempotent);
   }
 
-  /** Submits a job. */
+  /** Returns a submission. */
   public static LogRecord.Builder submit(JobSubmitted.Builder job) {
     return LogRecord.newBuilder().setJobSubmitted(job);
   }
 
-  /** Cancels jobs. */
+  /** Returns a cancellation. */
   public static LogRecord.Builder cancel(String team, String... jobs) {
     return LogRecord.newBuilder()
         .setJobsCancelled(JobsCancelled.newBuilder().setTeam(team).addAllJobs(List.of(jobs)));
   }
 
-  /** Claims the placing of a pool. */
+  /** Returns a claim of a pool. */
   public static LogRecord.Builder placer(String pool, String member, long replacedEpoch) {
     return LogRecord.newBuilder()
         .setPlacerClaimed(
@@ -178,7 +180,7 @@
                 .setReplacedEpoch(replacedEpoch));
   }
 
-  /** Starts an attempt. */
+  /** Returns a start of an attempt in the current escrow epoch. */
   public LogRecord.Builder start(
       String job, int attempt, String worker, String member, long epoch) {
     long escrowEpoch = state.escrow(new TeamId("shop")).get().getEpoch();
@@ -193,7 +195,7 @@
                 .setEscrowEpoch(escrowEpoch));
   }
 
-  /** Ends an attempt. */
+  /** Returns the end of an attempt. */
   public static LogRecord.Builder end(
       String job, int attempt, String worker, AttemptResult result) {
     return LogRecord.newBuilder()
@@ -205,7 +207,7 @@
                 .setResult(result));
   }
 
-  /** Returns an observation of an instance. */
+  /** Returns a live instance. */
   public static InstanceObserved.Builder instance(String name, String pool, String rack) {
     boolean isWorker = pool.equals("prints");
     return InstanceObserved.newBuilder()
@@ -217,7 +219,7 @@
         .setState(InstanceState.INSTANCE_LIVE);
   }
 
-  /** Observes an instance. */
+  /** Returns an observation. */
   public static LogRecord.Builder observe(InstanceObserved.Builder observed) {
     return LogRecord.newBuilder().setInstanceObserved(observed);
   }
@@ -232,12 +234,12 @@
         .setPurpose(purpose);
   }
 
-  /** Requests to stop an instance. */
+  /** Returns the record of a stop request. */
   public static LogRecord.Builder stop(InstanceStopRequested.Builder request) {
     return LogRecord.newBuilder().setInstanceStopRequested(request);
   }
 
-  /** Reports a step of a stop. */
+  /** Returns a step of a stop. */
   public static LogRecord.Builder step(String operation, String instance, StopStep step) {
     return LogRecord.newBuilder()
         .setInstanceStepDone(
@@ -247,7 +249,7 @@
                 .setStep(step));
   }
 
-  /** Moves an instance. */
+  /** Returns a move between pools. */
   public static LogRecord.Builder move(String operation, String instance, String from, String to) {
     return LogRecord.newBuilder()
         .setInstanceMoved(
