--- a/load/src/test/java/org/flamingochute/load/HttpCallSenderTest.java
+++ b/load/src/test/java/org/flamingochute/load/HttpCallSenderTest.java
@@ -40,7 +40,7 @@
 
   @ParameterizedTest(name = "not run, told by the other side {0}, is {1}")
   @CsvSource({"true, 'NotRun[status=503]'", "false, 'NoConnection[detail=x]'"})
-  void refusalIsNotAMissingConnection(boolean told, String judged) {
+  void refusalDiffersFromMissingConnection(boolean told, String judged) {
     TryOutcome result = HttpCallSender.judge(CALL, new ExchangeResult.NotRun("x", told));
     assertThat(result.toString(), equalTo(judged));
   }
