Probe the readiness of entries in the load tool's balancer

Cause: in a trial a gracefully stopping entry refused 5 requests as not run, since the load tool, unlike the platform's balancer, went on sending to an entry that was not ready; a frozen and thawed entry that was removed as a member refused 410.

Ruled out: a retry of refused calls in the caller (hides refusals that a balancer would not prevent).

--- a/load/src/main/java/org/flamingochute/load/Balancer.java
+++ b/load/src/main/java/org/flamingochute/load/Balancer.java
@@ -8,9 +8,10 @@
 import org.flamingochute.platform.http.NumericAddress;
 
 /**
- * Gives out entries in turn and leaves out those that refused a connection lately.
+ * Gives out entries in turn and leaves out those that were paused lately, because they refused a
+ * connection or were not ready.
  *
- * <p>When all entries refused lately, they are given out all the same.
+ * <p>When all entries are paused, they are given out all the same.
  */
 public final class Balancer {
 
--- a/load/src/main/java/org/flamingochute/load/LoadClients.java
+++ b/load/src/main/java/org/flamingochute/load/LoadClients.java
@@ -26,6 +26,7 @@
   private final ExchangeClient client;
   private final Timers timers = new ThreadTimers();
   private final Balancer balancer;
+  private final List<NumericAddress> entries;
 
   private LoadClients(List<NumericAddress> entries, int threads) {
     group = EventLoopGroup.start("load", threads);
@@ -38,6 +39,7 @@
             .build();
     client = new ExchangeClient(group, limits, ExchangeListener.NONE);
     balancer = new Balancer(entries, timers);
+    this.entries = entries;
   }
 
   /**
@@ -60,6 +62,11 @@
     return new LoadClients(addresses, threads);
   }
 
+  /** Has the balancer leave out entries that are not ready. */
+  void startProbes() {
+    new ReadinessProbe(client, balancer, timers).start(entries);
+  }
+
   ExchangeClient client() {
     return client;
   }
--- a/load/src/main/java/org/flamingochute/load/LoadMain.java
+++ b/load/src/main/java/org/flamingochute/load/LoadMain.java
@@ -89,6 +89,7 @@
     CallRecorder recorder = new CallRecorder(true);
     try (LoadClients clients =
         LoadClients.create(LoadOptions.required(line, "entries"), DEFAULT_THREADS)) {
+      clients.startProbes();
       RequestCaller requests =
           new RequestCaller(
               clients.balancer(),
