--- a/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
+++ b/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
@@ -55,6 +55,7 @@
   private static final String HEADER_LINE_PROPERTY =
       "io.activej.http.HttpMessage.maxHeaderLineSize";
 
+  private static final long LINGER_MILLISECONDS = 500;
   private static final int INCARNATION_BYTES = 8;
 
   private final ResolvedSettings resolved;
@@ -63,6 +64,7 @@
   private final ProcessMetrics processMetrics = new ProcessMetrics(registry);
   private final Deque<AutoCloseable> resources = new ArrayDeque<>();
   private final NodeReference node = new NodeReference();
+  private HttpFront front;
   private String httpAddress = "";
   private String peerAddress = "";
   private boolean stopped;
@@ -114,18 +116,22 @@
     if (peers.isLeft()) {
       return Either.left(peers.getLeft());
     }
-    Either<ErrorReport, Void> front = openFront(loops);
-    if (front.isLeft()) {
-      return front;
+    Either<ErrorReport, Void> opened = openFront(loops);
+    if (opened.isLeft()) {
+      return opened;
+    }
+    String portFile = resolved.settings().getEntry().getPortFile();
+    Either<ErrorReport, Void> written = PortFile.write(portFile, httpAddress, peerAddress);
+    if (written.isLeft()) {
+      return written;
     }
     EntryNode created = factory.create(nodeSettings(loops, peers.get()));
     node.set(created);
     created.start();
-    String portFile = resolved.settings().getEntry().getPortFile();
     logger.atInfo().log(
         "event=entry_started incarnation=%s http=%s peer=%s",
         incarnation, httpAddress, peerAddress);
-    return PortFile.write(portFile, httpAddress, peerAddress);
+    return Either.right(null);
   }
 
   private Either<ErrorReport, NettyPeerTransport> openPeers() {
@@ -149,7 +155,7 @@
   }
 
   private Either<ErrorReport, Void> openFront(EventLoopGroup loops) {
-    HttpFront front =
+    front =
         HttpFront.builder()
             .loops(loops)
             .address(resolved.http().socketAddress())
@@ -251,25 +257,34 @@
     }
     stopped = true;
     logger.atInfo().log("event=entry_stopping incarnation=%s", incarnation);
-    boolean whole = stopNode();
+    front.beginClosing();
+    stopNode();
+    front.stopAccepting();
+    lingerForCallers();
     closeResources();
-    logger.atInfo().log("event=entry_stopped incarnation=%s work_finished=%s", incarnation, whole);
+    logger.atInfo().log("event=entry_stopped incarnation=%s", incarnation);
   }
 
-  private boolean stopNode() {
+  private void stopNode() {
     long milliseconds = resolved.settings().getTiming().getStopMilliseconds();
     try {
       node.get()
           .ifPresent(
               running -> running.stop().orTimeout(milliseconds, TimeUnit.MILLISECONDS).join());
-      return true;
     } catch (CompletionException e) {
       logger.atWarning().log(
           "event=stop_incomplete message=%s", LogText.quoted(String.valueOf(e.getCause())));
-      return false;
     } catch (RuntimeException e) {
       uncaught("stop", e);
-      return false;
+    }
+  }
+
+  /** Gives callers with open connections the time to learn from an answer that they close. */
+  private static void lingerForCallers() {
+    try {
+      Thread.sleep(LINGER_MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
