Keep the stand-in log and worker fast over long runs

Cause: a read of the stand-in log walked back over all records up to its offset, and a worker listed every task that it ever ended at each renewal. Reads find their place directly now, and a task is listed for 60 s after its end; its status stays known.

--- a/standin/src/main/java/org/flamingochute/standin/InMemoryPlatformLog.java
+++ b/standin/src/main/java/org/flamingochute/standin/InMemoryPlatformLog.java
@@ -2,9 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import io.vavr.control.Either;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.Iterator;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.flamingochute.platform.PlatformError;
@@ -32,7 +30,11 @@
 
   private final Timers timers;
   private final long retainedRecords;
-  private final Deque<StoredRecord> records = new ArrayDeque<>();
+  private final List<StoredRecord> records = new ArrayList<>();
+
+  /** Place in the list of the oldest record that is kept; the places before it are garbage. */
+  private int firstKept;
+
   private long nextOffset = FIRST_OFFSET;
   private long lastAppendTime;
   private long appends;
@@ -92,7 +94,7 @@
     appends++;
     lastAppendTime = Math.max(lastAppendTime, timers.wallMilliseconds());
     for (byte[] record : batch) {
-      records.addLast(
+      records.add(
           StoredRecord.newBuilder()
               .setOffset(nextOffset)
               .setAppendTimeMilliseconds(lastAppendTime)
@@ -101,12 +103,19 @@
       nextOffset++;
       appendedRecords++;
     }
-    while (records.size() > retainedRecords) {
-      records.removeFirst();
-    }
+    dropOldest();
     return first;
   }
 
+  /** Frees the places of dropped records once they are as many as the kept ones. */
+  private void dropOldest() {
+    firstKept = (int) Math.max(firstKept, records.size() - retainedRecords);
+    if (firstKept > retainedRecords) {
+      records.subList(0, firstKept).clear();
+      firstKept = 0;
+    }
+  }
+
   private synchronized Either<PlatformError, ReadResponse> readNow(long from, int maximum) {
     if (down) {
       return Either.left(new PlatformError.Refused("the log is down"));
@@ -118,32 +127,18 @@
     }
     ReadResponse.Builder response =
         ReadResponse.newBuilder().setEarliestOffset(earliestOffset()).setNextOffset(nextOffset);
-    long available = nextOffset - from;
-    if (available <= 0) {
+    if (from >= nextOffset) {
       return Either.right(response.build());
     }
-    addRecords(response, available, maximum);
+    int begin = firstKept + (int) (from - earliestOffset());
+    int end = (int) Math.min(records.size(), (long) begin + maximum);
+    response.addAllRecords(records.subList(begin, end));
     return Either.right(response.build());
   }
 
-  /** Walks back from the newest record, since readers are mostly near the end. */
-  private void addRecords(ReadResponse.Builder response, long available, int maximum) {
-    Iterator<StoredRecord> newestFirst = records.descendingIterator();
-    Deque<StoredRecord> wanted = new ArrayDeque<>();
-    for (long i = 0; i < available && newestFirst.hasNext(); i++) {
-      wanted.addFirst(newestFirst.next());
-    }
-    for (StoredRecord record : wanted) {
-      if (response.getRecordsCount() >= maximum) {
-        return;
-      }
-      response.addRecords(record);
-    }
-  }
-
   /** Returns the oldest offset that is kept, or the next one when nothing is kept. */
   public synchronized long earliestOffset() {
-    return records.isEmpty() ? nextOffset : records.getFirst().getOffset();
+    return firstKept == records.size() ? nextOffset : records.get(firstKept).getOffset();
   }
 
   /** Returns the offset that the next record gets. */
--- a/standin/src/main/java/org/flamingochute/standin/StandInWorker.java
+++ b/standin/src/main/java/org/flamingochute/standin/StandInWorker.java
@@ -29,6 +29,9 @@
  */
 public final class StandInWorker {
 
+  /** Time for which a task that ended is still listed, in milliseconds. */
+  public static final long ENDED_LISTED_MILLISECONDS = 60_000;
+
   private final String instance;
   private final ResourceAmount capacity;
   private final Timers timers;
@@ -193,7 +196,7 @@
     return Either.right(statusOf(task));
   }
 
-  /** Renews the leases of all tasks and lists the tasks that were begun. */
+  /** Renews the leases of all tasks and lists those that run or ended lately. */
   public synchronized Either<PlatformError, TaskListing> renew(long leaseMilliseconds) {
     if (!poweredOn) {
       return Either.left(new PlatformError.Refused("worker " + instance + " is powered down"));
@@ -201,7 +204,7 @@
     TaskListing.Builder listing = TaskListing.newBuilder();
     long leaseEnd = timers.monotonicMilliseconds() + leaseMilliseconds;
     for (Task task : tasks.values()) {
-      if (task.phase == TaskPhase.TASK_NEVER_BEGUN) {
+      if (task.phase == TaskPhase.TASK_NEVER_BEGUN || endedLongAgo(task)) {
         continue;
       }
       task.leaseEndMilliseconds = leaseEnd;
@@ -210,6 +213,11 @@
     return Either.right(listing.build());
   }
 
+  private boolean endedLongAgo(Task task) {
+    long oldest = timers.monotonicMilliseconds() - ENDED_LISTED_MILLISECONDS;
+    return task.phase != TaskPhase.TASK_RUNNING && task.endedMilliseconds < oldest;
+  }
+
   /** Stops a task; one that was never begun is refused from now on. */
   public synchronized Either<PlatformError, TaskStatus> stop(String job, int attempt) {
     if (!poweredOn) {
--- a/standin/src/test/java/org/flamingochute/standin/StandInWorkerTest.java
+++ b/standin/src/test/java/org/flamingochute/standin/StandInWorkerTest.java
@@ -116,6 +116,15 @@
     assertThat(phaseOf("j1"), equalTo(TaskPhase.TASK_SUCCEEDED));
   }
 
+  @ParameterizedTest(name = "{0} ms after its end a task is listed {1} times, and still known")
+  @CsvSource({"0, 1", "60000, 1", "60001, 0"})
+  void endedTaskIsListedForSomeTime(long after, int listed) {
+    worker.start(start("j1", TaskPlan.newBuilder().setRunMilliseconds(100)));
+    timers.advance(100 + after);
+    assertThat(worker.renew(500).get().getTasksCount(), equalTo(listed));
+    assertThat(phaseOf("j1"), equalTo(TaskPhase.TASK_SUCCEEDED));
+  }
+
   @ParameterizedTest(name = "{0} gives {1} and {2} begun")
   @CsvSource({"WORKER_FAILS, TASK_FAILED, 1", "WORKER_CANNOT_RUN, TASK_NEVER_BEGUN, 0"})
   void faultyWorker(EndpointFaultKind kind, TaskPhase phase, int begun) {
