Keep the room that was made for urgent jobs, and measure placement, waves, the shrink and moves

Cause: in a full pool urgent jobs waited a minute. (1) Room was kept for every job that had waited 10 s, which in a full pool is every job, so the pool stood half idle. (2) The room freed by stopping a job was taken at once by the waiting job of the team with the smallest part. (3) A team somewhat above its part could stop only its own jobs on one worker. Change: room is kept for one long-waiting job at a time; the room made for an urgent job is kept for it; another team's job may be stopped when that team's part is not below the part of the urgent jobs alone.

--- a/decision/src/main/java/org/flamingochute/decision/placement/FairPlacement.java
+++ b/decision/src/main/java/org/flamingochute/decision/placement/FairPlacement.java
@@ -22,12 +22,13 @@
  * <p>Example: a pool of 9 cores and 18 GiB; jobs of team A need 1 core and 4 GiB, those of team B 3
  * cores and 1 GiB. A runs 3 jobs (12 of 18 GiB) and B 2 (6 of 9 cores): both have two thirds.
  *
- * <p>An urgent job that finds no room makes room: an idempotent job that is not urgent is stopped,
- * the youngest one of the team with the largest part, when that team stays above the urgent job's
- * team or is the same. So a team's urgent work never waits for work of its own, nor for work by
- * which another team exceeds its part. When nothing can be stopped, an urgent job may overcommit
- * the processors of a worker by a bounded part, which slows its neighbours down for a while; memory
- * and accelerators are never overcommitted.
+ * <p>An urgent job that finds no room makes room: idempotent jobs that are not urgent are stopped,
+ * the youngest ones of the team with the largest part first, which must be the same team or have a
+ * part that is not below the part that urgent jobs alone give to the urgent job's team. The room is
+ * kept for the urgent job from then on. So urgent work within its team's part never waits for other
+ * work, and a team that calls all its work urgent gets no more than its part. When nothing can be
+ * stopped, an urgent job may overcommit the processors of a worker by a bounded part, which slows
+ * its neighbours down for a while; memory and accelerators are never overcommitted.
  *
  * <p>A job that has found no room for long gets a worker kept free for it, so that a stream of
  * small jobs does not pass it by for ever.
@@ -41,6 +42,7 @@
   private final FairPlacementSettings settings;
   private final UsageEstimator estimator = new UsageEstimator();
   private final WorkerHealth health = new WorkerHealth();
+  private final Map<JobId, InstanceId> claims = new HashMap<>();
 
   /** Creates a policy that has observed nothing yet. */
   public FairPlacement(FairPlacementSettings settings) {
@@ -74,6 +76,7 @@
       }
       queues.computeIfAbsent(job.team(), key -> new PriorityQueue<>(WITHIN_TEAM)).add(job);
     }
+    honourClaims(input.waiting(), queues, ledger, nowMilliseconds, decisions);
     while (true) {
       TeamId team = nextTeam(queues, ledger);
       if (team == null) {
@@ -107,6 +110,43 @@
     return best;
   }
 
+  /** Starts urgent jobs in the room that was made for them, or keeps it while it is coming. */
+  private void honourClaims(
+      List<WaitingJob> waiting,
+      Map<TeamId, PriorityQueue<WaitingJob>> queues,
+      PoolLedger ledger,
+      long nowMilliseconds,
+      List<PlacementDecision> decisions) {
+    Map<JobId, InstanceId> open = Map.copyOf(claims);
+    claims.clear();
+    for (WaitingJob job : waiting) {
+      InstanceId worker = open.get(job.job());
+      PriorityQueue<WaitingJob> queue = queues.get(job.team());
+      boolean usable =
+          worker != null
+              && queue != null
+              && queue.contains(job)
+              && ledger.capacity(worker) != null
+              && ledger.mayStart(job.team())
+              && isUsable(worker, ledger, nowMilliseconds);
+      if (!usable) {
+        continue;
+      }
+      ResourceVector size = ledger.size(job.team(), job.declared());
+      ResourceVector needed = ledger.sizeOn(worker, size, job.declared());
+      ResourceVector room = ledger.free().get(worker);
+      if (needed.fitsIn(room)) {
+        ledger.start(job.team(), worker, needed);
+        decisions.add(new PlacementDecision.Start(job.job(), worker));
+        queue.remove(job);
+      } else if (needed.fitsIn(room.plus(ledger.coming(worker)))) {
+        ledger.reserve(worker, needed);
+        claims.put(job.job(), worker);
+        queue.remove(job);
+      }
+    }
+  }
+
   private void place(
       WaitingJob job, PoolLedger ledger, long nowMilliseconds, List<PlacementDecision> decisions) {
     ResourceVector size = ledger.size(job.team(), job.declared());
@@ -181,6 +221,7 @@
       ResourceVector room = entry.getValue().plus(ledger.coming(worker));
       if (needed.fitsIn(room)) {
         ledger.reserve(worker, needed);
+        claims.put(job.job(), worker);
         return true;
       }
       List<RunningJob> stops = stopsFor(job, needed, worker, room, ledger);
@@ -192,6 +233,7 @@
       return false;
     }
     InstanceId chosen = best.getFirst().worker();
+    claims.put(job.job(), chosen);
     ledger.reserve(chosen, ledger.sizeOn(chosen, size, job.declared()));
     for (RunningJob stop : best) {
       ledger.markStopping(stop);
@@ -203,7 +245,8 @@
   /** Keeps the worker with most room for a job that has waited long. */
   private void reserveAfterLongWait(
       WaitingJob job, ResourceVector size, PoolLedger ledger, long nowMilliseconds) {
-    if (nowMilliseconds - job.submittedMilliseconds() < settings.reserveAfterMilliseconds()) {
+    long waited = nowMilliseconds - job.submittedMilliseconds();
+    if (ledger.hasReservation() || waited < settings.reserveAfterMilliseconds()) {
       return;
     }
     InstanceId best = null;
@@ -221,8 +264,8 @@
         mostRoom = room;
       }
     }
-    if (best != null && mostRoom >= 0) {
-      ledger.reserve(best, ledger.sizeOn(best, size, job.declared()));
+    if (best != null) {
+      ledger.reserveForLongWait(best, ledger.sizeOn(best, size, job.declared()));
     }
   }
 
@@ -239,12 +282,12 @@
       InstanceId worker,
       ResourceVector free,
       PoolLedger ledger) {
-    double ownPart = ledger.weightedPart(job.team(), needed);
+    double urgentPart = ledger.weightedUrgentPart(job.team());
     List<RunningJob> candidates = new ArrayList<>();
     for (RunningJob running : ledger.stoppable()) {
       boolean sameTeam = running.team().equals(job.team());
       if (running.worker().equals(worker)
-          && (sameTeam || ledger.weightedPart(running.team(), ResourceVector.ZERO) >= ownPart)) {
+          && (sameTeam || ledger.weightedPart(running.team(), ResourceVector.ZERO) >= urgentPart)) {
         candidates.add(running);
       }
     }
--- a/decision/src/main/java/org/flamingochute/decision/placement/PoolLedger.java
+++ b/decision/src/main/java/org/flamingochute/decision/placement/PoolLedger.java
@@ -16,10 +16,12 @@
   private final Map<InstanceId, ResourceVector> capacity = new HashMap<>();
   private final Map<InstanceId, Integer> jobCounts = new HashMap<>();
   private final Map<TeamId, ResourceVector> used = new HashMap<>();
+  private final Map<TeamId, ResourceVector> usedByUrgent = new HashMap<>();
   private final Map<TeamId, Integer> startable = new HashMap<>();
   private final Map<TeamId, Integer> shares = new HashMap<>();
   private final Map<InstanceId, ResourceVector> coming = new HashMap<>();
   private final List<RunningJob> stoppable = new ArrayList<>();
+  private boolean reservation;
   private ResourceVector total = ResourceVector.ZERO;
 
   PoolLedger(PlacementInput input, UsageEstimator estimator) {
@@ -38,6 +40,9 @@
 
   private void addRunning(RunningJob job) {
     take(job.team(), job.worker(), size(job.team(), job.declared()));
+    if (job.urgent()) {
+      noteUrgent(job.team(), size(job.team(), job.declared()));
+    }
     if (job.stopping()) {
       markStopping(job);
       return;
@@ -88,6 +93,28 @@
     return coming.getOrDefault(worker, ResourceVector.ZERO);
   }
 
+  /** Notes that a size is used by an urgent job. */
+  void noteUrgent(TeamId team, ResourceVector size) {
+    usedByUrgent.merge(team, size, ResourceVector::plus);
+  }
+
+  /** Returns the dominant part of a team's urgent jobs alone, divided by its weight. */
+  double weightedUrgentPart(TeamId team) {
+    ResourceVector usage = usedByUrgent.getOrDefault(team, ResourceVector.ZERO);
+    return usage.dominantPart(total) / shares.getOrDefault(team, 1);
+  }
+
+  /** Tells whether room is kept for a job that has waited long. */
+  boolean hasReservation() {
+    return reservation;
+  }
+
+  /** Keeps room for the one job that has waited long. */
+  void reserveForLongWait(InstanceId worker, ResourceVector size) {
+    reservation = true;
+    reserve(worker, size);
+  }
+
   /** Keeps room, free or coming, for a job that starts later. */
   void reserve(InstanceId worker, ResourceVector size) {
     free.computeIfPresent(worker, (key, room) -> room.minus(size));
--- a/decision/src/main/java/org/flamingochute/decision/placement/UsageEstimator.java
+++ b/decision/src/main/java/org/flamingochute/decision/placement/UsageEstimator.java
@@ -18,7 +18,7 @@
 
   private static final double GAIN = 1.0 / 8;
   private static final double PROCESSOR_DEVIATIONS = 1.0;
-  private static final double MEMORY_DEVIATIONS = 3.0;
+  private static final double MEMORY_DEVIATIONS = 2.0;
   private static final double MINIMUM_RATIO = 0.05;
   private static final double MAXIMUM_RATIO = 20.0;
   private static final int OBSERVATIONS_FOR_FULL_TRUST = 4;
--- a/decision/src/test/java/org/flamingochute/decision/placement/FairPlacementTest.java
+++ b/decision/src/test/java/org/flamingochute/decision/placement/FairPlacementTest.java
@@ -123,6 +123,59 @@
     assertThat(placement.decide(stopping.build(), NOW), empty());
   }
 
+  @Test
+  void keepsRoomThatWasMadeForUrgentJob() {
+    TeamPart teamA = new TeamPart(A, 1, 9);
+    TeamPart teamB = new TeamPart(B, 1, 9);
+    WaitingJob urgent = job("urgent", B, 2).urgent(true).build();
+    WaitingJob other = job("other", A, 1).build();
+    RunningJob own = running("own", B, 0, 3);
+    RunningJob small = running("small", A, 0, 1);
+    PlacementInput full =
+        PlacementInput.builder()
+            .worker(worker(0, 4))
+            .team(teamA)
+            .team(teamB)
+            .running(own)
+            .running(small)
+            .waiting(other)
+            .waiting(urgent)
+            .build();
+    assertThat(
+        placement.decide(full, NOW),
+        contains(
+            new PlacementDecision.Preempt(
+                new JobId("own"), new InstanceId("worker-0"), new JobId("urgent"))));
+    PlacementInput freed =
+        PlacementInput.builder()
+            .worker(worker(0, 4))
+            .team(teamA)
+            .team(teamB)
+            .running(small)
+            .waiting(other)
+            .waiting(job("other-2", A, 2).build())
+            .waiting(urgent)
+            .build();
+    assertThat(starts(placement.decide(freed, NOW)), equalTo("urgent other"));
+  }
+
+  @Test
+  void keepsRoomForOnlyOneJobThatWaitedLong() {
+    PlacementInput input =
+        PlacementInput.builder()
+            .worker(worker(0, 4))
+            .worker(worker(1, 4))
+            .team(new TeamPart(A, 1, 9))
+            .team(new TeamPart(B, 1, 9))
+            .running(running("b0", B, 0, 1))
+            .running(running("b1", B, 1, 1))
+            .waiting(job("large-0", A, 4).build())
+            .waiting(job("large-1", A, 4).build())
+            .waiting(job("small", B, 1).build())
+            .build();
+    assertThat(starts(placement.decide(input, 60_000)), equalTo("small"));
+  }
+
   @Test
   void urgentJobStopsNothingThatIsNotIdempotent() {
     RunningJob fixed =
--- a/experiment/src/main/java/org/flamingochute/experiment/ExperimentCatalogue.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/ExperimentCatalogue.java
@@ -1,6 +1,10 @@
 package org.flamingochute.experiment;
 
 import java.util.List;
+import org.flamingochute.experiment.maintenance.MoveExperiment;
+import org.flamingochute.experiment.maintenance.ShrinkExperiment;
+import org.flamingochute.experiment.maintenance.WaveExperiment;
+import org.flamingochute.experiment.placement.PlacementExperiment;
 import org.flamingochute.experiment.request.EndpointExperiment;
 import org.flamingochute.experiment.request.OverloadExperiment;
 import org.flamingochute.experiment.request.ShareExperiment;
@@ -11,6 +15,13 @@
   private ExperimentCatalogue() {}
 
   static List<Experiment> all() {
-    return List.of(new ShareExperiment(), new OverloadExperiment(), new EndpointExperiment());
+    return List.of(
+        new ShareExperiment(),
+        new OverloadExperiment(),
+        new EndpointExperiment(),
+        new WaveExperiment(),
+        new ShrinkExperiment(),
+        new MoveExperiment(),
+        new PlacementExperiment());
   }
 }
