--- a/experiment/src/main/java/org/flamingochute/experiment/ExperimentCatalogue.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/ExperimentCatalogue.java
@@ -1,6 +1,8 @@
 package org.flamingochute.experiment;
 
 import java.util.List;
+import org.flamingochute.experiment.cost.DecisionCostExperiment;
+import org.flamingochute.experiment.cost.StateCostExperiment;
 import org.flamingochute.experiment.maintenance.MoveExperiment;
 import org.flamingochute.experiment.maintenance.ShrinkExperiment;
 import org.flamingochute.experiment.maintenance.WaveExperiment;
@@ -22,6 +24,8 @@
         new WaveExperiment(),
         new ShrinkExperiment(),
         new MoveExperiment(),
-        new PlacementExperiment());
+        new PlacementExperiment(),
+        new StateCostExperiment(),
+        new DecisionCostExperiment());
   }
 }
