Send free tokens to entries that wait, and measure escrow transfers

Cause: an entry asked only peers that reported free tokens, and reports are older (200 ms) than the use of a token (40 ms). Change: an entry at which a token comes free sends it to peers that reported waiting requests, at most its equal part of what each lacks.

--- a/decision/src/main/java/org/flamingochute/decision/capacity/DemandTransferPolicy.java
+++ b/decision/src/main/java/org/flamingochute/decision/capacity/DemandTransferPolicy.java
@@ -13,6 +13,10 @@
  * keeps what its own waiting requests need, and gives of the rest what was asked for, but leaves
  * itself one token for its next request as long as it gives at least one.
  *
+ * <p>Reports are older than the time for which a token is in use. So an entry at which a token
+ * comes free, and that does not need it, sends it to the peer that reported most requests without a
+ * token.
+ *
  * <p>Example: 3 requests wait, 1 token is free, 4 are in use: 2 are missing, and 2 + 4 = 6 are
  * asked for. A peer with 5 free tokens gives 4, and the next one is asked for the other 2.
  */
@@ -56,6 +60,30 @@
     return Math.min(spare, wanted);
   }
 
+  @Override
+  public List<TokenGift> gifts(OwnTokens own, List<PeerTokens> peers) {
+    int spare = give(own, Integer.MAX_VALUE);
+    List<PeerTokens> needy = new ArrayList<>(peers);
+    needy.sort(
+        Comparator.comparingInt(DemandTransferPolicy::surplus).thenComparing(PeerTokens::peer));
+    List<TokenGift> gifts = new ArrayList<>();
+    for (PeerTokens peer : needy) {
+      int part = Math.min(spare, partOfNeed(peer, peers.size()));
+      if (part <= 0) {
+        break;
+      }
+      gifts.add(new TokenGift(peer.peer(), part));
+      spare -= part;
+    }
+    return gifts;
+  }
+
+  /** Returns this entry's equal part, rounded up, of what a peer lacks. */
+  private static int partOfNeed(PeerTokens peer, int givers) {
+    int need = Math.max(0, -surplus(peer));
+    return (need + givers - 1) / givers;
+  }
+
   private static int surplus(PeerTokens peer) {
     return peer.freeTokens() - peer.waiting();
   }
--- a/decision/src/main/java/org/flamingochute/decision/capacity/TransferPolicy.java
+++ b/decision/src/main/java/org/flamingochute/decision/capacity/TransferPolicy.java
@@ -21,4 +21,16 @@
    * @return between 0 and the number of free tokens
    */
   int give(OwnTokens own, int wanted);
+
+  /**
+   * Decides what to send without being asked. Called when a token came free and when a report
+   * arrived.
+   *
+   * @param own this entry's tokens of the team
+   * @param peers what the other members reported last; the caller takes a peer that it sent to as
+   *     having none waiting until the next report
+   */
+  default List<TokenGift> gifts(OwnTokens own, List<PeerTokens> peers) {
+    return List.of();
+  }
 }
--- a/decision/src/test/java/org/flamingochute/decision/capacity/DemandTransferPolicyTest.java
+++ b/decision/src/test/java/org/flamingochute/decision/capacity/DemandTransferPolicyTest.java
@@ -38,6 +38,30 @@
     assertThat(text, equalTo(expected));
   }
 
+  @ParameterizedTest
+  @CsvSource({
+    "9,0,0 5,0 1,peer-0:3 peer-1:1",
+    "3,0,0 5,0 1,peer-0:2",
+    "6,0,0 2,0 3,peer-1:2 peer-0:1",
+    "1,0,0 0,0 4,peer-1:1",
+    "1,1,0 5,0 5,''",
+    "4,0,3 2,5 0,''",
+  })
+  void sendsTokensToThoseThatWait(
+      int free, int waiting, String first, String second, String expected) {
+    List<PeerTokens> peers = new ArrayList<>();
+    for (String text : List.of(first, second)) {
+      String[] parts = text.split(" ");
+      Incarnation peer = new Incarnation("peer-" + peers.size());
+      peers.add(new PeerTokens(peer, Integer.parseInt(parts[0]), Integer.parseInt(parts[1])));
+    }
+    String text =
+        policy.gifts(new OwnTokens(free, 0, waiting, 0), peers).stream()
+            .map(gift -> gift.peer() + ":" + gift.tokens())
+            .collect(Collectors.joining(" "));
+    assertThat(text, equalTo(expected));
+  }
+
   @ParameterizedTest
   @CsvSource({"5,0,6,4", "5,0,2,2", "1,0,3,1", "0,0,3,0", "5,4,3,1", "5,6,3,0", "5,0,0,0"})
   void givesWhatItDoesNotNeed(int free, int waiting, int wanted, int expected) {
--- a/experiment/src/main/java/org/flamingochute/experiment/ExperimentCatalogue.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/ExperimentCatalogue.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.flamingochute.experiment.cost.DecisionCostExperiment;
 import org.flamingochute.experiment.cost.StateCostExperiment;
+import org.flamingochute.experiment.escrow.EscrowExperiment;
 import org.flamingochute.experiment.maintenance.MoveExperiment;
 import org.flamingochute.experiment.maintenance.ShrinkExperiment;
 import org.flamingochute.experiment.maintenance.WaveExperiment;
@@ -21,6 +22,7 @@
         new ShareExperiment(),
         new OverloadExperiment(),
         new EndpointExperiment(),
+        new EscrowExperiment(),
         new WaveExperiment(),
         new ShrinkExperiment(),
         new MoveExperiment(),
