--- a/entry/src/test/java/org/flamingochute/entry/http/HttpFrontTest.java
+++ b/entry/src/test/java/org/flamingochute/entry/http/HttpFrontTest.java
@@ -6,14 +6,17 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -41,11 +44,14 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The HTTP interface in front of a fake node. */
 class HttpFrontTest {
   private static final int BODY_LIMIT = 1024;
   private static final int CONNECTION_LIMIT = 8;
+  private static final String OCTETS =
+      new String(new byte[] {(byte) 0xc3, (byte) 0x81}, StandardCharsets.ISO_8859_1);
 
   private final EventLoopGroup loops = EventLoopGroup.start("front", 2);
   private final FakeEntryNode node = new FakeEntryNode();
@@ -296,7 +302,7 @@
     String answer;
     try {
       answer = raw(text);
-    } catch (java.net.SocketException e) {
+    } catch (SocketException e) {
       answer = "";
     }
     settle();
@@ -436,6 +442,127 @@
     assertThat(response.body(), containsString("\"http.service_request_time\": {"));
   }
 
+  static Stream<String> ambiguousLengths() {
+    return Stream.of(
+        "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        "Content-Length: 0\r\nContent-Length: 4\r\n\r\n",
+        "Content-Length: 4\r\nContent-Length: 0\r\n\r\n",
+        "Transfer-Encoding: identity\r\n\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n");
+  }
+
+  @ParameterizedTest
+  @MethodSource("ambiguousLengths")
+  void requestWhoseEndIsAmbiguousIsRefusedAndItsConnectionClosed(String rest) throws Exception {
+    String hidden = "GET /services/hidden HTTP/1.1\r\nHost: a\r\n\r\n";
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.setSoTimeout(3000);
+      String text = "POST /services/s HTTP/1.1\r\nHost: a\r\n" + rest + hidden + hidden;
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      readToEnd(socket);
+    }
+    assertThat(node.requests.isEmpty(), is(true));
+    assertThat(registry.counter("http.malformed").getCount(), greaterThan(0L));
+  }
+
+  private static void readToEnd(Socket socket) throws IOException {
+    try {
+      socket.getInputStream().readAllBytes();
+    } catch (SocketException e) {
+      // Closed with bytes unread, which resets the connection.
+    }
+  }
+
+  static Stream<String> controlCharacters() {
+    return Stream.of("X-A: b\rc", "X-A: b\0c", "X-A: b\177c");
+  }
+
+  @ParameterizedTest
+  @MethodSource("controlCharacters")
+  void controlCharacterInHeaderIsMalformed(String header) throws Exception {
+    String answer = raw("GET /services/s HTTP/1.1\r\nHost: a\r\n" + header + "\r\n\r\n");
+    assertThat(answer, startsWith("HTTP/1.1 400"));
+    assertThat(node.requests.isEmpty(), is(true));
+  }
+
+  @Test
+  void octetsInPathAreMalformed() throws Exception {
+    String answer = raw("GET /services/s/" + OCTETS + " HTTP/1.1\r\nHost: a\r\n\r\n");
+    assertThat(answer, startsWith("HTTP/1.1 400"));
+    assertThat(node.requests.isEmpty(), is(true));
+  }
+
+  static Stream<Arguments> headerValues() {
+    return Stream.of("two words", OCTETS, "a\tb", "", "\"q\", 'q'").map(Arguments::of);
+  }
+
+  @ParameterizedTest
+  @MethodSource("headerValues")
+  void headerValuesPassBothWaysUnchanged(String value) throws Exception {
+    node.answer =
+        request -> {
+          String seen =
+              request.headers().stream()
+                  .filter(header -> header.name().equalsIgnoreCase("X-Value"))
+                  .findFirst()
+                  .orElseThrow()
+                  .value();
+          return new CallerOutcome.Answered(
+              200,
+              List.of(new HeaderField("X-Back", seen), new HeaderField("X-Back", "second")),
+              new byte[0]);
+        };
+    String answer = raw("GET /services/s HTTP/1.1\r\nHost: a\r\nX-Value: " + value + "\r\n\r\n");
+    assertThat(answer, startsWith("HTTP/1.1 200"));
+    assertThat(answer, containsString("X-Back: " + value + "\r\n"));
+    assertThat(answer, containsString("X-Back: second\r\n"));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {204, 304})
+  void answerWithoutBodyLeavesItsConnectionUsable(int status) throws Exception {
+    node.answer = request -> new CallerOutcome.Answered(status, List.of(), new byte[0]);
+    assertThat(send("GET", "/services/s", null).statusCode(), equalTo(status));
+    HttpResponse<String> next = send("GET", "/services/s", null);
+    assertThat(next.statusCode(), equalTo(status));
+    assertThat(next.body(), equalTo(""));
+  }
+
+  @Test
+  void closingFrontAnswersAndAsksToClose() throws Exception {
+    HttpResponse<String> before = send("POST", "/services/s/x", "body");
+    assertThat(before.headers().firstValue("Connection").orElse(""), equalTo("keep-alive"));
+    front.beginClosing();
+    HttpResponse<String> after = send("POST", "/services/s/x", "body");
+    assertThat(after.body(), equalTo("body"));
+    assertThat(outcome(after), equalTo("answered"));
+    assertThat(after.headers().allValues("Connection"), equalTo(List.of("close")));
+    assertThat(send("GET", "/nothing", null).statusCode(), equalTo(404));
+  }
+
+  @Test
+  void openConnectionIsServedAfterTheFrontStoppedAccepting() throws Exception {
+    try (Socket open = new Socket(address.getAddress(), address.getPort())) {
+      open.setSoTimeout(3000);
+      byte[] request =
+          "GET /services/s HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+      open.getOutputStream().write(request);
+      assertThat(open.getInputStream().read(), equalTo((int) 'H'));
+      front.stopAccepting();
+      open.getOutputStream().write(request);
+      byte[] answers = open.getInputStream().readNBytes(150);
+      assertThat(
+          new String(answers, StandardCharsets.ISO_8859_1).split("HTTP/1.1 200", -1).length,
+          equalTo(2));
+      assertThrows(ConnectException.class, () -> connect());
+    }
+  }
+
+  private void connect() throws IOException {
+    new Socket(address.getAddress(), address.getPort()).close();
+  }
+
   @Test
   void nothingIsRunBeforeTheNodeExists() throws Exception {
     reference.set(null);
