--- a/experiment/src/main/java/org/flamingochute/experiment/cost/StateCostExperiment.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/cost/StateCostExperiment.java
@@ -56,7 +56,7 @@
     int pools = Math.max(1, POOLS * percent / 100);
     int teams = TEAMS * percent / 100;
     List<Measurement> found = new ArrayList<>();
-    long heapBefore = usedHeap();
+    final long heapBefore = usedHeap();
     FleetRecords.description(pools, teams, MEMBERS).forEach(log::fold);
     log.measure(
         found,
@@ -91,7 +91,7 @@
     long begin = System.nanoTime();
     AgreedStateImage image = state.image();
     byte[] bytes = ImageCodec.encode(image);
-    double writeMilliseconds = (System.nanoTime() - begin) / 1e6;
+    final double writeMilliseconds = (System.nanoTime() - begin) / 1e6;
     begin = System.nanoTime();
     AgreedState restored = AgreedState.empty();
     ImageCodec.decode(image.getOffset(), bytes).peek(restored::replaceBy);
--- a/experiment/src/main/java/org/flamingochute/experiment/maintenance/ShrinkExperiment.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/maintenance/ShrinkExperiment.java
@@ -59,7 +59,7 @@
   }
 
   private static List<Measurement> run(
-      Company company, String policy, boolean oneAtATime, long seed) {
+      Company company, String policy, boolean singleSteps, long seed) {
     SimulatedFleet fleet = new SimulatedFleet();
     List<Integer> sizes = new ArrayList<>(company.runnersPerService());
     sizes.addAll(company.workersPerPool());
@@ -67,7 +67,7 @@
       fleet.addPool("pool-" + i, sizes.get(i), target(sizes.get(i)), 1);
     }
     Map<InstanceId, Double> stops = stopTimes(fleet, seed);
-    double quickest = quickest(fleet, stops);
+    final double quickest = quickest(fleet, stops);
     Map<InstanceId, PoolInstance> before = new HashMap<>();
     fleet.instances().forEach(instance -> before.put(instance.instance(), instance));
     EventQueue events = new EventQueue();
@@ -77,13 +77,13 @@
         PLAN_MILLISECONDS,
         () -> {
           for (PoolGuard guard : fleet.guards()) {
-            if (oneAtATime && !stopping.isEmpty()) {
+            if (singleSteps && !stopping.isEmpty()) {
               return;
             }
             int target = guard.minimumAvailable();
             List<InstanceId> next =
                 new ShrinkPlanner().nextRetirements(guard, fleet.instances(guard.pool()), target);
-            for (InstanceId id : oneAtATime && !next.isEmpty() ? next.subList(0, 1) : next) {
+            for (InstanceId id : singleSteps && !next.isEmpty() ? next.subList(0, 1) : next) {
               stopping.add(id);
               fleet.setCondition(id, InstanceCondition.STOPPED);
               events.after(
--- a/experiment/src/main/java/org/flamingochute/experiment/placement/PlacementExperiment.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/placement/PlacementExperiment.java
@@ -27,10 +27,10 @@
   public List<Measurement> run(long seed) {
     List<Measurement> measurements = new ArrayList<>();
     for (Company company : Company.all()) {
-      measurements.addAll(run(company, "first-come", new FirstComePlacement(), seed));
-      measurements.addAll(run(company, "fair-declared", fair(false, false, false), seed));
-      measurements.addAll(run(company, "fair-no-stops", fair(true, true, false), seed));
-      measurements.addAll(run(company, "fair", fair(true, true, true), seed));
+      measurements.addAll(measure(company, "first-come", new FirstComePlacement(), seed));
+      measurements.addAll(measure(company, "fair-declared", fair(false, false, false), seed));
+      measurements.addAll(measure(company, "fair-no-stops", fair(true, true, false), seed));
+      measurements.addAll(measure(company, "fair", fair(true, true, true), seed));
     }
     return measurements;
   }
@@ -47,7 +47,7 @@
             preempts));
   }
 
-  private static List<Measurement> run(
+  private static List<Measurement> measure(
       Company company, String policy, PlacementPolicy placement, long seed) {
     PoolSimulation simulation = new PoolSimulation(company, placement, seed).run();
     String name = company.name();
--- a/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioRunner.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/scenario/ScenarioRunner.java
@@ -41,7 +41,7 @@
   /** Plays a scenario and returns what was seen. */
   public Evidence play(ScenarioDescriptor scenario) {
     ScenarioWorld world = new ScenarioWorld(scenario, settings);
-    Declarations declarations = new Declarations(Secrets.replaceByDigests(scenario.fleet()));
+    final Declarations declarations = new Declarations(Secrets.replaceByDigests(scenario.fleet()));
     FaultPlayer faults = new FaultPlayer(world);
     faults.schedule(scenario.faults());
     CallPlayer calls = new CallPlayer(world);
