Withdraw a granted stop when its pool loses another instance before the drain

Ruled out: a stale coordinator; it had folded the loss at the offset of the grant. Change: StopDriver asks InstanceStopGuard again before the drain and records STOP_WITHDRAWN, which the fold takes only before the drain.

--- a/decision/src/main/java/org/flamingochute/decision/agreement/StopFolder.java
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/StopFolder.java
@@ -158,6 +158,7 @@
         finish(id, instance, position);
         instances.retire(id, position);
       }
+      case STOP_WITHDRAWN -> instances.change(id, known -> withoutStop(known).build());
       case STOP_FAILED -> fail(id, instance, done.getDetail());
       default ->
           instances.change(id, known -> known.toBuilder().setLastStep(done.getStep()).build());
@@ -184,6 +185,7 @@
       case STOP_REBOOTED -> isDrained && purpose == StopPurpose.STOP_FOR_REBOOT;
       case STOP_RETIRED -> isDrained && purpose == StopPurpose.STOP_FOR_RETIREMENT;
       case STOP_RETURNED -> last == StopStep.STOP_REBOOTED || (isDrained && wasMoved(instance));
+      case STOP_WITHDRAWN -> last == StopStep.STOP_STEP_UNSPECIFIED;
       case STOP_FAILED -> true;
       case STOP_STEP_UNSPECIFIED, UNRECOGNIZED -> false;
     };
--- a/engine/src/main/java/org/flamingochute/engine/maintenance/StopDriver.java
+++ b/engine/src/main/java/org/flamingochute/engine/maintenance/StopDriver.java
@@ -3,14 +3,17 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.flamingochute.decision.agreement.AgreedView;
+import org.flamingochute.decision.agreement.InstanceStopGuard;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.OperationId;
+import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.engine.log.FreshnessMonitor;
 import org.flamingochute.engine.log.LogAppender;
 import org.flamingochute.platform.PlatformError;
@@ -18,12 +21,14 @@
 import org.flamingochute.platform.Timers;
 import org.flamingochute.schema.InstanceImage;
 import org.flamingochute.schema.InstanceMoved;
+import org.flamingochute.schema.InstanceState;
 import org.flamingochute.schema.InstanceStepDone;
 import org.flamingochute.schema.InstanceStopRequested;
 import org.flamingochute.schema.LogRecord;
 import org.flamingochute.schema.PoolAction;
 import org.flamingochute.schema.PoolOperation;
 import org.flamingochute.schema.PoolOperationStatus;
+import org.flamingochute.schema.PoolSection;
 import org.flamingochute.schema.StopStep;
 
 /**
@@ -34,6 +39,10 @@
  * and the work in flight ends. Then the platform drains the instance. A reboot follows with reboot
  * and return, a move with the record of the move and return, a retirement with retire. Each step is
  * an idempotent operation of the platform that is asked about until it is done, and then a record.
+ *
+ * <p>A stop that was granted is given up when the pool loses another instance before the drain, so
+ * that a planned stop never adds to a loss. Example: three workers, minimum 2; the stop of A is
+ * granted, then B is lost. The stop of A is withdrawn, and A and C stay in service.
  */
 final class StopDriver {
 
@@ -92,7 +101,9 @@
     OperationId operation = new OperationId(instance.getStop().getOperation());
     switch (instance.getLastStep()) {
       case STOP_STEP_UNSPECIFIED -> {
-        if (isNoticeOver(operation) && load.inFlight(instance) == 0) {
+        if (!isBudgetKept(instance)) {
+          perform(instance, PoolAction.POOL_RETURN, StopStep.STOP_WITHDRAWN);
+        } else if (isNoticeOver(operation) && load.inFlight(instance) == 0) {
           perform(instance, PoolAction.POOL_DRAIN, StopStep.STOP_DRAINED);
         }
       }
@@ -102,6 +113,17 @@
     }
   }
 
+  /** Tells whether the pool keeps its availability budget while the instance is out of service. */
+  private boolean isBudgetKept(InstanceImage instance) {
+    PoolSection pool = agreed.description().getPoolsMap().get(instance.getPool());
+    boolean isListedLive = instance.getObserved().getState() == InstanceState.INSTANCE_LIVE;
+    if (pool == null || !isListedLive) {
+      return true;
+    }
+    Collection<InstanceImage> others = agreed.instances(new PoolId(instance.getPool()));
+    return InstanceStopGuard.countAvailable(others) >= pool.getMinimumAvailable();
+  }
+
   private void afterDrain(InstanceImage instance) {
     InstanceStopRequested stop = instance.getStop();
     switch (stop.getPurpose()) {
--- a/testsuite/src/test/java/org/flamingochute/testsuite/observation/Observation.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/observation/Observation.java
@@ -80,6 +80,12 @@
   /** An entry was told to stop gracefully. */
   record StopAsked(long atMilliseconds, String entry) implements Observation {}
 
+  /** An entry was frozen by a fault. */
+  record EntryFrozen(long atMilliseconds, String entry) implements Observation {}
+
+  /** An entry that was frozen goes on. */
+  record EntryThawed(long atMilliseconds, String entry) implements Observation {}
+
   /** A request was cut by a planned action of the platform. */
   record WorkCutByPlannedStop(long atMilliseconds, String instance, String tag)
       implements Observation {}
