Let no engine test wait for a future that does not come

Tests: every wait is now a check that the future has ended; the cluster stops without notice, as before.

--- a/engine/src/test/java/org/flamingochute/engine/ClaimPromiseTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/ClaimPromiseTest.java
@@ -31,8 +31,8 @@
     CompletableFuture<CallerOutcome> first = order(cluster, 0);
     CompletableFuture<CallerOutcome> second = order(cluster, 1);
     cluster.clock.advance(3_000);
-    assertThat(first.join(), instanceOf(CallerOutcome.Answered.class));
-    assertThat(second.join(), instanceOf(CallerOutcome.Answered.class));
+    assertThat(Cluster.ended(first), instanceOf(CallerOutcome.Answered.class));
+    assertThat(Cluster.ended(second), instanceOf(CallerOutcome.Answered.class));
     assertThat(cluster.endpoints.executions(PATH), is(1L));
   }
 
@@ -43,7 +43,7 @@
     cluster.clock.advance(3_000);
     CompletableFuture<CallerOutcome> again = order(cluster, 2);
     cluster.clock.advance(3_000);
-    CallerOutcome.Answered answered = (CallerOutcome.Answered) again.join();
+    CallerOutcome.Answered answered = (CallerOutcome.Answered) Cluster.ended(again);
     assertThat(new String(answered.body()), is(PATH));
     assertThat(cluster.endpoints.executions(PATH), is(1L));
   }
@@ -56,7 +56,7 @@
     CompletableFuture<CallerOutcome> other =
         cluster.send(1, Cluster.RED_KEY, "/red/other", false, Optional.of("order-1"));
     cluster.clock.advance(3_000);
-    assertThat(other.join(), instanceOf(CallerOutcome.NotRun.class));
+    assertThat(Cluster.ended(other), instanceOf(CallerOutcome.NotRun.class));
     assertThat(cluster.endpoints.executions("/red/other"), is(0L));
   }
 
@@ -68,13 +68,13 @@
     }
     CompletableFuture<CallerOutcome> first = order(cluster, 0);
     cluster.clock.advance(3_000);
-    assertThat(first.join(), instanceOf(CallerOutcome.NotRun.class));
+    assertThat(Cluster.ended(first), instanceOf(CallerOutcome.NotRun.class));
     for (int i = 1; i <= 3; i++) {
       cluster.endpoints.behave("runner-" + i, Behaviour.ANSWER);
     }
     CompletableFuture<CallerOutcome> second = order(cluster, 1);
     cluster.clock.advance(3_000);
-    assertThat(second.join(), instanceOf(CallerOutcome.Answered.class));
+    assertThat(Cluster.ended(second), instanceOf(CallerOutcome.Answered.class));
   }
 
   @Test
@@ -88,7 +88,7 @@
     cluster.clock.advance(4_000);
     CompletableFuture<CallerOutcome> again = order(cluster, 1);
     cluster.clock.advance(3_000);
-    assertThat(again.join(), instanceOf(CallerOutcome.Unknown.class));
+    assertThat(Cluster.ended(again), instanceOf(CallerOutcome.Unknown.class));
     assertThat(cluster.endpoints.executions(PATH), is(1L));
   }
 
@@ -109,19 +109,19 @@
     CompletableFuture<CallerOutcome> first = order(cluster, 0);
     cluster.clock.advance(2_500);
     final long ranBefore = cluster.endpoints.executions(PATH);
-    if (first.join() instanceof CallerOutcome.NotRun) {
+    if (Cluster.ended(first) instanceof CallerOutcome.NotRun) {
       assertThat(ranBefore, is(0L));
     }
     cluster.log.setDown(false);
     cluster.log.setLatencyMilliseconds(1);
     cluster.entry(0).log.setCut(false);
     cluster.clock.advance(10_000);
-    if (first.join() instanceof CallerOutcome.NotRun) {
+    if (Cluster.ended(first) instanceof CallerOutcome.NotRun) {
       assertThat(cluster.endpoints.executions(PATH), is(0L));
     }
     CompletableFuture<CallerOutcome> second = order(cluster, 1);
     cluster.clock.advance(5_000);
-    assertThat(second.join(), instanceOf(CallerOutcome.Answered.class));
+    assertThat(Cluster.ended(second), instanceOf(CallerOutcome.Answered.class));
     assertThat(cluster.endpoints.executions(PATH), lessThanOrEqualTo(1L));
   }
 }
--- a/engine/src/test/java/org/flamingochute/engine/JobPromisesTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/JobPromisesTest.java
@@ -48,7 +48,7 @@
 
   private static JobId acknowledged(CompletableFuture<Either<ErrorReport, JobImage>> future) {
     assertThat("submission has ended", future.isDone(), is(true));
-    return new JobId(future.join().get().getSubmitted().getJob());
+    return new JobId(Cluster.ended(future).get().getSubmitted().getJob());
   }
 
   private static JobPhase phase(Cluster cluster, int entry, JobId job) {
--- a/engine/src/test/java/org/flamingochute/engine/PlannedStopTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/PlannedStopTest.java
@@ -94,7 +94,7 @@
     Optional<WaveImage> wave = cluster.entry(1).node.agreed().wave(new WaveId("may"));
     assertThat(wave.get().getFinishedInstancesCount(), is(3));
     for (CompletableFuture<CallerOutcome> future : futures) {
-      assertThat(future.join(), not(instanceOf(CallerOutcome.Unknown.class)));
+      assertThat(Cluster.ended(future), not(instanceOf(CallerOutcome.Unknown.class)));
     }
   }
 
@@ -159,12 +159,12 @@
     cluster.clock.advance(400);
     final CompletableFuture<Void> stopped = cluster.entry(0).node.stop();
     assertThat(cluster.entry(0).node.isReady(), is(false));
-    CallerOutcome refused = cluster.send(0, Cluster.RED_KEY, "/red/new").join();
+    CallerOutcome refused = Cluster.ended(cluster.send(0, Cluster.RED_KEY, "/red/new"));
     assertThat(refused, instanceOf(CallerOutcome.NotRun.class));
     cluster.clock.advance(5_000);
     assertThat(stopped.isDone(), is(true));
     for (CompletableFuture<CallerOutcome> future : futures) {
-      assertThat(future.join(), instanceOf(CallerOutcome.Answered.class));
+      assertThat(Cluster.ended(future), instanceOf(CallerOutcome.Answered.class));
     }
     cluster.clock.advance(2_000);
     for (int i = 0; i < 6; i++) {
@@ -186,7 +186,7 @@
     assertThat(stopped.isDone(), is(false));
     cluster.clock.advance(2_000);
     assertThat(stopped.isDone(), is(true));
-    assertThat(future.join(), instanceOf(CallerOutcome.Answered.class));
+    assertThat(Cluster.ended(future), instanceOf(CallerOutcome.Answered.class));
   }
 
   @Test
--- a/engine/src/test/java/org/flamingochute/engine/RequestPromisesTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/RequestPromisesTest.java
@@ -36,7 +36,7 @@
 
   private static CallerOutcome outcome(CompletableFuture<CallerOutcome> future) {
     assertThat("request has ended", future.isDone(), is(true));
-    return future.join();
+    return Cluster.ended(future);
   }
 
   @Test
--- a/engine/src/test/java/org/flamingochute/engine/StartUpTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/StartUpTest.java
@@ -67,7 +67,7 @@
         is(cluster.entry(0).node.agreed().description()));
     CompletableFuture<CallerOutcome> future = cluster.send(2, Cluster.BLUE_KEY, "/blue/x");
     cluster.clock.advance(3_000);
-    assertThat(future.join(), instanceOf(CallerOutcome.Answered.class));
+    assertThat(Cluster.ended(future), instanceOf(CallerOutcome.Answered.class));
   }
 
   @Test
--- a/engine/src/test/java/org/flamingochute/engine/fake/Cluster.java
+++ b/engine/src/test/java/org/flamingochute/engine/fake/Cluster.java
@@ -99,6 +99,14 @@
     return cluster;
   }
 
+  /** Returns the result of a future that has ended; a test never waits for one. */
+  public static <T> T ended(CompletableFuture<T> future) {
+    if (!future.isDone()) {
+      throw new AssertionError("the future has not ended");
+    }
+    return future.join();
+  }
+
   /** Starts an entry process. */
   public Entry addEntry(String instance, String incarnation) {
     PausableTimers process = new PausableTimers(clock);
@@ -274,6 +282,7 @@
         pool_address = 127.0.0.1:1
         [timing]
         snapshot_records = %d
+        stop_notice_milliseconds = 0
         """
             .formatted(instance, KeyDigest.of(OPERATOR_KEY), snapshotRecords);
     return new SettingsReader<>(EntrySettings.getDefaultInstance())
--- a/engine/src/test/java/org/flamingochute/engine/log/LogAppenderTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/log/LogAppenderTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 import org.flamingochute.decision.agreement.AgreedState;
 import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.engine.fake.Cluster;
 import org.flamingochute.engine.fake.FakeLog;
 import org.flamingochute.engine.fake.PausableTimers;
 import org.flamingochute.engine.fake.VirtualTimers;
@@ -73,7 +74,7 @@
     fault.accept(log);
     CompletableFuture<AppendOutcome> future = append();
     clock.advance(2 * TIMEOUT_MILLISECONDS);
-    assertThat(future.join().getClass().getSimpleName(), is(outcome));
+    assertThat(Cluster.ended(future).getClass().getSimpleName(), is(outcome));
     assertThat(log.records().size(), is(copies));
     assertThat(appender.pendingRecords(), is(0));
   }
@@ -95,7 +96,7 @@
     clock.advance(TIMEOUT_MILLISECONDS + 1_000);
     log.setRefusing(false);
     clock.advance(TIMEOUT_MILLISECONDS);
-    assertThat(future.join().getClass().getSimpleName(), is("NotAppended"));
+    assertThat(Cluster.ended(future).getClass().getSimpleName(), is("NotAppended"));
     assertThat(log.records().size(), is(0));
   }
 }
