--- a/engine/src/test/java/org/flamingochute/engine/log/LogAppenderTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/log/LogAppenderTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 import org.flamingochute.decision.agreement.AgreedState;
 import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.engine.fake.Cluster;
 import org.flamingochute.engine.fake.FakeLog;
 import org.flamingochute.engine.fake.PausableTimers;
 import org.flamingochute.engine.fake.VirtualTimers;
@@ -43,7 +44,6 @@
         new LogAppender(view, follower, process, self, Duration.ofMillis(4), metrics);
     agreed.addListener(created);
     follower.addReaction(created);
-    follower.start();
     return created;
   }
 
@@ -60,9 +60,16 @@
         fault("stored twice", log -> log.repeatAppends(1), "Folded", 2),
         fault("slow", log -> log.setLatencyMilliseconds(400), "Folded", 1),
         fault("down", log -> log.setDown(true), "Unknown", 0),
+        fault("one append lost", log -> log.loseAppends(1), "Folded", 1),
+        fault("one append lost, then refusing", LogAppenderTest::loseThenRefuse, "Unknown", 0),
         fault("refusing", log -> log.setRefusing(true), "NotAppended", 0));
   }
 
+  private static void loseThenRefuse(FakeLog log) {
+    log.loseAppends(1);
+    log.setRefusing(true);
+  }
+
   private static Arguments fault(String name, Consumer<FakeLog> fault, String outcome, int copies) {
     return Arguments.of(Named.of(name, fault), outcome, copies);
   }
@@ -73,7 +80,7 @@
     fault.accept(log);
     CompletableFuture<AppendOutcome> future = append();
     clock.advance(2 * TIMEOUT_MILLISECONDS);
-    assertThat(future.join().getClass().getSimpleName(), is(outcome));
+    assertThat(Cluster.ended(future).getClass().getSimpleName(), is(outcome));
     assertThat(log.records().size(), is(copies));
     assertThat(appender.pendingRecords(), is(0));
   }
@@ -95,7 +102,7 @@
     clock.advance(TIMEOUT_MILLISECONDS + 1_000);
     log.setRefusing(false);
     clock.advance(TIMEOUT_MILLISECONDS);
-    assertThat(future.join().getClass().getSimpleName(), is("NotAppended"));
+    assertThat(Cluster.ended(future).getClass().getSimpleName(), is("NotAppended"));
     assertThat(log.records().size(), is(0));
   }
 }
