--- a/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
+++ b/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
@@ -86,6 +86,7 @@
   FILE_UNWRITABLE(1308, "section [%s]: key \"%s\": file \"%s\" cannot be written: %s"),
   ADDRESS_UNUSABLE(1309, "section [%s]: key \"%s\": address \"%s\": %s"),
   TLS_UNUSABLE(1310, "section [peer]: TLS cannot be set up: %s"),
+  CONNECTION_ENDING(1311, "the connection ends with an earlier answer"),
 
   // Stand-ins, load tool and the operators' command line: 1400 to 1499.
   STAND_IN_CANNOT_LISTEN(1400, "address %s: cannot listen: %s"),
--- a/entry/src/main/java/org/flamingochute/entry/http/CallerConnection.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/CallerConnection.java
@@ -24,6 +24,15 @@
     }
   }
 
+  /**
+   * Tells whether the connection of a request ends with an earlier answer. What follows on it may
+   * have been read already, and is not served.
+   */
+  static boolean isEnding(HttpRequest request) {
+    return request.getConnection().getUserData() instanceof CallerConnection connection
+        && connection.endsWithAnswer;
+  }
+
   /** An answer was written; closes the connection when it ends with it. */
   static void answerWritten(HttpServerConnection connection) {
     if (connection.getUserData() instanceof CallerConnection caller && caller.endsWithAnswer) {
--- a/entry/src/main/java/org/flamingochute/entry/http/RequestRouter.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/RequestRouter.java
@@ -27,6 +27,10 @@
 
   @Override
   public Promise<HttpResponse> serve(HttpRequest request) {
+    if (CallerConnection.isEnding(request)) {
+      ErrorReport report = ErrorReport.of(ErrorCode.CONNECTION_ENDING);
+      return Promise.of(Answers.closing(Answers.error(report, OutcomeName.NOT_RUN)));
+    }
     if (guard.isEndAmbiguous(request)) {
       CallerConnection.endWithAnswer(request);
       ErrorReport report = guard.malformed("headers", "", "the end of the body is ambiguous");
--- a/entry/src/test/java/org/flamingochute/entry/http/HttpFrontTest.java
+++ b/entry/src/test/java/org/flamingochute/entry/http/HttpFrontTest.java
@@ -462,6 +462,7 @@
       socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
       readToEnd(socket);
     }
+    settle();
     assertThat(node.requests.isEmpty(), is(true));
     assertThat(registry.counter("http.malformed").getCount(), greaterThan(0L));
   }
--- a/entry/src/test/java/org/flamingochute/entry/peer/NettyPeerTransportTest.java
+++ b/entry/src/test/java/org/flamingochute/entry/peer/NettyPeerTransportTest.java
@@ -16,6 +16,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -182,11 +183,26 @@
         silent.acceptHandshake();
         assertThat(silent.isClosedByOther(), is(true));
       }
-      from.send(address, RawPeer.gossip("a-1", "b-1", 2));
-      server.accept().close();
+      acceptAnother(server, from, address);
     }
   }
 
+  /** Sends until a connection comes; a frame sent while the old one fails is lost. */
+  private static void acceptAnother(ServerSocket server, NettyPeerTransport from, String address)
+      throws IOException {
+    server.setSoTimeout(100);
+    for (int i = 0; i < ATTEMPTS; i++) {
+      from.send(address, RawPeer.gossip("a-1", "b-1", i + 2));
+      try {
+        server.accept().close();
+        return;
+      } catch (SocketTimeoutException e) {
+        // Not yet.
+      }
+    }
+    throw new AssertionError("no connection was made anew");
+  }
+
   @Test
   void heartbeatsKeepTheConnection() throws Exception {
     NettyPeerTransport from = transport("a-1", 0, "s", null);
