--- a/experiment/src/main/java/org/flamingochute/experiment/cost/StateCostExperiment.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/cost/StateCostExperiment.java
@@ -84,8 +84,7 @@
     addImage(found, subject, log.state);
     addLedger(found, subject, log, teams);
     found.add(new Measurement(subject, "all", "empty heartbeat", "bytes", heartbeat(0).length));
-    found.add(
-        new Measurement(subject, "all", "full heartbeat", "bytes", heartbeat(teams).length));
+    found.add(new Measurement(subject, "all", "full heartbeat", "bytes", heartbeat(teams).length));
     return found;
   }
 
