--- a/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
+++ b/decision/src/main/java/org/flamingochute/decision/error/ErrorCode.java
@@ -52,8 +52,8 @@
   STATEMENT_NOT_DUE(1127, "no statement of holdings of %s is due"),
   SNAPSHOT_REFUSED(1128, "snapshot part at offset %s: %s"),
   MEMBER_EXISTS(1129, "incarnation %s has joined before"),
-  PATCH_REPEATED(1130, "patch id %s was used before by another patch"),
   ESCROW_SUSPENDED(1130, "team %s starts nothing until its lower cap is settled"),
+  PATCH_REPEATED(1132, "patch id %s was used before by another patch"),
 
   // Requests and jobs at an entry: 1200 to 1299.
   KEY_MISSING(1200, "service %s needs a team's key"),
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/mutant/MutantTest.java
@@ -0,0 +1,51 @@
+package org.flamingochute.testsuite.mutant;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.bytebuddy.agent.ByteBuddyAgent;
+import org.flamingochute.testsuite.scenario.ScenarioDescriptor;
+import org.flamingochute.testsuite.scenario.ScenarioFiles;
+import org.flamingochute.testsuite.scenario.ScenarioRunner;
+import org.flamingochute.testsuite.scenario.ScenarioSettings;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvFileSource;
+
+/**
+ * Each row of mutants.csv turns a mechanism off; the scenario that it names must then report the
+ * promise that it names, and must report nothing with the mechanism on.
+ */
+final class MutantTest {
+
+  @BeforeAll
+  static void installAgent() {
+    ByteBuddyAgent.install();
+  }
+
+  @ParameterizedTest(name = "{0}: {1}")
+  @CsvFileSource(resources = "/mutants.csv", delimiter = '|', numLinesToSkip = 1)
+  void suiteCatchesTheMutant(String promise, String mutations, String scenarioName) {
+    ScenarioDescriptor scenario = ScenarioFiles.one("scenarios", scenarioName);
+    assertThat(problems(scenario), empty());
+    List<Mutation> applied = new ArrayList<>();
+    try {
+      for (String text : mutations.split(";")) {
+        Mutation mutation = Mutation.parse(text);
+        mutation.apply();
+        applied.add(mutation);
+      }
+      assertThat(problems(scenario), hasItem(containsString(promise)));
+    } finally {
+      applied.forEach(Mutation::revert);
+    }
+  }
+
+  private static List<String> problems(ScenarioDescriptor scenario) {
+    return new ScenarioRunner(ScenarioSettings.standard()).problems(scenario);
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/process/ChildProcesses.java
@@ -0,0 +1,87 @@
+package org.flamingochute.testsuite.process;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/** Starts Java processes of the programs under test, sends them signals, and ends them all. */
+final class ChildProcesses implements AutoCloseable {
+
+  private static final long START_MILLISECONDS = 60_000;
+  private static final long POLL_MILLISECONDS = 50;
+
+  private final Path folder;
+  private final Map<String, Process> processes = new TreeMap<>();
+
+  ChildProcesses(Path folder) {
+    this.folder = folder;
+  }
+
+  /** Starts a program; its output goes to a file with its name. */
+  Process start(String name, String mainClass, List<String> arguments) throws IOException {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(List.of("-Xmx256m", "-XX:TieredStopAtLevel=1", "-cp"));
+    command.add(
+        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")));
+    command.add(mainClass);
+    command.addAll(arguments);
+    File output = folder.resolve(name + ".log").toFile();
+    Process process =
+        new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output).start();
+    processes.put(name, process);
+    return process;
+  }
+
+  /** Writes a file into the folder and returns its path. */
+  String write(String name, String text) throws IOException {
+    return Files.writeString(folder.resolve(name), text).toString();
+  }
+
+  /** Returns the path of a file in the folder. */
+  Path path(String name) {
+    return folder.resolve(name);
+  }
+
+  /** Waits for a port file and returns the address under a name in it. */
+  String address(String portFile, String name) throws IOException, InterruptedException {
+    Path file = folder.resolve(portFile);
+    for (long waited = 0; waited < START_MILLISECONDS; waited += POLL_MILLISECONDS) {
+      if (Files.exists(file)) {
+        for (String line : Files.readAllLines(file)) {
+          if (line.startsWith(name + "=")) {
+            return line.substring(name.length() + 1);
+          }
+        }
+      }
+      Thread.sleep(POLL_MILLISECONDS);
+    }
+    throw new IllegalStateException(portFile + " was not written");
+  }
+
+  /** Sends a signal to a process that was started here. */
+  void signal(String name, String signal) throws IOException, InterruptedException {
+    long pid = processes.get(name).pid();
+    new ProcessBuilder("kill", "-" + signal, String.valueOf(pid)).start().waitFor();
+  }
+
+  /** Waits for a process to end and returns its exit code. */
+  int waitFor(String name, long seconds) throws InterruptedException {
+    Process process = processes.get(name);
+    if (!process.waitFor(seconds, TimeUnit.SECONDS)) {
+      throw new IllegalStateException(name + " has not ended after " + seconds + " s");
+    }
+    return process.exitValue();
+  }
+
+  @Override
+  public void close() {
+    processes.values().forEach(Process::destroyForcibly);
+  }
+}
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/process/ProcessFaultTest.java
@@ -0,0 +1,97 @@
+package org.flamingochute.testsuite.process;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.flamingochute.load.DemoSummary;
+import org.flamingochute.testsuite.knownred.KnownRedExtension;
+import org.junit.jupiter.api.Named;
+import org.junit.jupiter.api.extension.ExtendWith;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Plays faults on real processes under load. What callers, runners and workers saw is compared call
+ * by call: nothing may be crossed, lost, doubled, falsely refused, or beyond a cap.
+ */
+@ExtendWith(KnownRedExtension.class)
+final class ProcessFaultTest {
+
+  private static final long BEFORE_MILLISECONDS = 2_500;
+
+  /** Longer than the freshness limit, the placer's lease and the deadline of a request. */
+  private static final long OUTAGE_MILLISECONDS = 6_000;
+
+  private static final String OPERATOR = "demo";
+  private static final String OPERATOR_KEY = "demo-operator-key";
+
+  /** What goes wrong while the callers are at work. */
+  private interface Fault {
+    void play(ProcessCluster cluster) throws Exception;
+  }
+
+  static List<Named<Fault>> faults() {
+    return List.of(
+        Named.of("entry killed", ProcessFaultTest::killEntry),
+        Named.of("entry frozen past its lease and thawed", ProcessFaultTest::freezeEntry),
+        Named.of("log down longer than every limit", ProcessFaultTest::takeLogDown),
+        Named.of("entry stopped gracefully", ProcessFaultTest::stopEntry),
+        Named.of("two operators race", ProcessFaultTest::raceOperators));
+  }
+
+  private static void killEntry(ProcessCluster cluster) throws Exception {
+    cluster.signal(ProcessCluster.entryName(1), "KILL");
+    cluster.post("/instances/state", "{\"instance\":\"entry-1\",\"state\":\"INSTANCE_GONE\"}");
+  }
+
+  private static void freezeEntry(ProcessCluster cluster) throws Exception {
+    cluster.signal(ProcessCluster.entryName(1), "STOP");
+    Thread.sleep(OUTAGE_MILLISECONDS);
+    cluster.signal(ProcessCluster.entryName(1), "CONT");
+  }
+
+  private static void takeLogDown(ProcessCluster cluster) throws Exception {
+    cluster.post("/faults", "{\"logDown\":true}");
+    Thread.sleep(OUTAGE_MILLISECONDS);
+    cluster.post("/faults", "{}");
+  }
+
+  private static void stopEntry(ProcessCluster cluster) throws Exception {
+    cluster.signal(ProcessCluster.entryName(1), "TERM");
+    assertThat("exit code of the stop", cluster.waitFor(ProcessCluster.entryName(1), 60), is(0));
+  }
+
+  private static void raceOperators(ProcessCluster cluster) throws Exception {
+    CompletableFuture<Integer> first = CompletableFuture.supplyAsync(() -> grant(cluster));
+    CompletableFuture<Integer> second = CompletableFuture.supplyAsync(() -> apply(cluster));
+    boolean oneWon = first.join() == 0 || second.join() == 0;
+    assertThat("one of the racing patches is accepted", oneWon, is(true));
+  }
+
+  private static int grant(ProcessCluster cluster) {
+    return cluster.control(OPERATOR_KEY, OPERATOR, List.of("grant", "captains"));
+  }
+
+  private static int apply(ProcessCluster cluster) {
+    return cluster.control(OPERATOR_KEY, OPERATOR, List.of("grant", "rosario"));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("faults")
+  void keepsAllPromises(Fault fault, @TempDir Path folder) throws Exception {
+    try (ProcessCluster cluster = new ProcessCluster(folder)) {
+      cluster.startCallers();
+      Thread.sleep(BEFORE_MILLISECONDS);
+      fault.play(cluster);
+      DemoSummary.Result result = cluster.compare();
+      assertThat(result.findings(), empty());
+      assertThat("answered", result.answered() * 2, greaterThan(result.requests()));
+    }
+  }
+}
--- a/testsuite/src/test/java/org/flamingochute/testsuite/promise/Declarations.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/promise/Declarations.java
@@ -67,7 +67,7 @@
   /** Returns the largest number that a key had within a span of time. */
   public long largestWithin(
       long fromMilliseconds, long toMilliseconds, String section, String key) {
-    long largest = Long.parseLong(valueAt(fromMilliseconds, section, key, "0"));
+    long largest = Long.parseLong(valueAt(Math.max(0, fromMilliseconds), section, key, "0"));
     for (Declared declared : history) {
       boolean applies =
           declared.section().equals(section)
@@ -85,7 +85,7 @@
   /** Returns the smallest number that a key had within a span of time. */
   public long smallestWithin(
       long fromMilliseconds, long toMilliseconds, String section, String key) {
-    long smallest = Long.parseLong(valueAt(fromMilliseconds, section, key, "0"));
+    long smallest = Long.parseLong(valueAt(Math.max(0, fromMilliseconds), section, key, "0"));
     for (Declared declared : history) {
       boolean applies =
           declared.section().equals(section)
--- a/testsuite/src/test/java/org/flamingochute/testsuite/promise/PoolMembershipChecker.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/promise/PoolMembershipChecker.java
@@ -6,11 +6,13 @@
 import java.util.Map;
 
 /**
- * Compares the pools of each runner and worker over all entries that know the same records. Entries
- * belong to no pool.
+ * Compares the pools of each runner and worker over all entries that know the same records: each
+ * has one pool, and the same one everywhere. Entries belong to no pool.
  */
 public final class PoolMembershipChecker implements PromiseChecker {
 
+  private static final String UNKNOWN = "(unknown)";
+
   @Override
   public String promise() {
     return "An instance belongs to exactly one pool.";
@@ -19,23 +21,36 @@
   @Override
   public List<String> violations(Evidence evidence) {
     List<String> violations = new ArrayList<>();
-    Map<String, Map<Long, String>> poolByOffset = new HashMap<>();
+    Map<Long, Evidence.FinalView> firstByOffset = new HashMap<>();
     for (Evidence.FinalView view : evidence.finalViews()) {
-      view.poolOfInstance()
-          .forEach(
-              (instance, pool) -> {
-                if (evidence.instances().get(instance).firstPool().isEmpty()) {
-                  return;
-                }
-                Map<Long, String> pools =
-                    poolByOffset.computeIfAbsent(instance, name -> new HashMap<>());
-                String other = pools.putIfAbsent(view.offset(), pool);
-                if (pool.isEmpty() || (other != null && !other.equals(pool))) {
-                  violations.add(
-                      instance + " is in pool \"" + pool + "\" and in \"" + other + "\"");
-                }
-              });
+      Evidence.FinalView first = firstByOffset.computeIfAbsent(view.offset(), offset -> view);
+      for (Evidence.InstanceFacts instance : evidence.instances().values()) {
+        if (!instance.firstPool().isEmpty()) {
+          compare(instance.name(), first, view, violations);
+        }
+      }
     }
     return violations;
   }
+
+  private static void compare(
+      String instance,
+      Evidence.FinalView first,
+      Evidence.FinalView other,
+      List<String> violations) {
+    String pool = first.poolOfInstance().getOrDefault(instance, UNKNOWN);
+    String otherPool = other.poolOfInstance().getOrDefault(instance, UNKNOWN);
+    if (pool.isEmpty() || !pool.equals(otherPool)) {
+      violations.add(
+          instance
+              + " is in pool \""
+              + pool
+              + "\" at "
+              + first.entry()
+              + " and in \""
+              + otherPool
+              + "\" at "
+              + other.entry());
+    }
+  }
 }
