Prove the fence, repeated transfers, list lag, worker leases and paused waves

Cause: mutants of these mechanisms survived the tests of this module. Conclusion: no fault in the code was found by them.

--- a/engine/src/test/java/org/flamingochute/engine/CapPromiseTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/CapPromiseTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** No team has more running than its cap, whatever happens to entries, frames and the log. */
 class CapPromiseTest {
@@ -124,4 +125,25 @@
     cluster.clock.advance(3_000);
     assertThat(cluster.endpoints.mostRunning("red"), is(CAP));
   }
+
+  @ParameterizedTest
+  @ValueSource(ints = {2, 3, 5})
+  void noTokenIsStrandedByLostFrames(int loseEvery) {
+    Cluster cluster = Cluster.started(3);
+    cluster.network.loseEvery(loseEvery);
+    cluster.endpoints.setServiceMilliseconds(100);
+    for (int i = 0; i < 300; i++) {
+      int entry = i / 50 % 3;
+      cluster.send(entry, Cluster.RED_KEY, "/red/x");
+      cluster.clock.advance(20);
+    }
+    cluster.network.loseEvery(0);
+    cluster.clock.advance(3_000);
+    cluster.endpoints.setServiceMilliseconds(700);
+    for (int i = 0; i < CAP; i++) {
+      cluster.send(2, Cluster.RED_KEY, "/red/y");
+    }
+    cluster.clock.advance(650);
+    assertThat(cluster.endpoints.mostRunning("red"), is(CAP));
+  }
 }
--- a/engine/src/test/java/org/flamingochute/engine/JobPromisesTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/JobPromisesTest.java
@@ -260,6 +260,8 @@
     JobId job = acknowledged(future);
     String worker = cluster.entry(0).node.job(Cluster.RED_KEY, job).get().getWorker();
     cluster.platform.setState(worker, InstanceState.INSTANCE_GONE);
+    cluster.clock.advance(8_000);
+    assertThat(phase(cluster, 0, job), is(JobPhase.JOB_RUNNING));
     cluster.clock.advance(40_000);
     assertThat(phase(cluster, 0, job), is(expected));
   }
--- a/engine/src/test/java/org/flamingochute/engine/PlannedStopTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/PlannedStopTest.java
@@ -115,6 +115,16 @@
     assertThat(cut, everyItem(is(0)));
   }
 
+  @Test
+  void pausedWaveAsksForNoStop() {
+    Cluster cluster = Cluster.started(2);
+    cluster.patch(0, "wave may pools proofs", "wave may paused true");
+    cluster.clock.advance(10_000);
+    for (Cluster.Entry entry : cluster.entries) {
+      assertThat(entry.metrics.counter("stops.requested").getCount(), is(0L));
+    }
+  }
+
   @Test
   void waveStopsAfterRepeatedFailures() {
     Cluster cluster = Cluster.started(2);
--- a/engine/src/test/java/org/flamingochute/engine/RequestPromisesTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/RequestPromisesTest.java
@@ -239,6 +239,18 @@
     assertThat(cluster.endpoints.executions("/red/late"), is(0L));
   }
 
+  @Test
+  void thawedEntryThatWasDeclaredGoneNeverWorksAgain() {
+    Cluster cluster = Cluster.started(3);
+    cluster.entry(0).process.freeze();
+    cluster.listGone("entry-1");
+    cluster.clock.advance(5_000);
+    cluster.entry(0).process.thaw();
+    cluster.clock.advance(10_000);
+    CallerOutcome outcome = outcome(cluster.send(0, Cluster.RED_KEY, "/red/x"));
+    assertThat(((CallerOutcome.NotRun) outcome).report().code(), is(ErrorCode.NOT_A_MEMBER));
+  }
+
   @Test
   void queueIsBoundedAndSheddingIsNotRun() {
     Cluster cluster = Cluster.started(1);
--- a/engine/src/test/java/org/flamingochute/engine/StartUpTest.java
+++ b/engine/src/test/java/org/flamingochute/engine/StartUpTest.java
@@ -87,6 +87,19 @@
     assertThat(cluster.entry(2).node.isReady(), is(true));
   }
 
+  @Test
+  void newProcessIsNotRemovedByListThatStillShowsItsPredecessor() {
+    Cluster cluster = Cluster.started(2);
+    cluster.addEntry("entry-9", "entry-9-a");
+    cluster.clock.advance(2_000);
+    cluster.kill(2);
+    cluster.platform.freezeListing();
+    cluster.clock.advance(500);
+    cluster.addEntry("entry-9", "entry-9-b");
+    cluster.clock.advance(10_000);
+    assertThat(cluster.entry(3).node.isReady(), is(true));
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {1, 3, 8})
   void lostRepliesLeaveNoRecordOut(int lost) {
--- a/engine/src/test/java/org/flamingochute/engine/fake/FakePlatform.java
+++ b/engine/src/test/java/org/flamingochute/engine/fake/FakePlatform.java
@@ -27,6 +27,8 @@
   private final List<Consumer<PoolOperation>> watchers = new ArrayList<>();
   private final Map<String, Boolean> failing = new HashMap<>();
 
+  private InstanceListing frozen;
+
   /** Creates an empty platform. */
   public FakePlatform(VirtualTimers clock) {
     this.clock = clock;
@@ -58,15 +60,23 @@
     return operations;
   }
 
+  /** Keeps the listing as it is now, as a list does that lags. */
+  public void freezeListing() {
+    frozen = listing();
+  }
+
+  private InstanceListing listing() {
+    return InstanceListing.newBuilder()
+        .addAllInstances(instances.values())
+        .setAsOfMilliseconds(clock.wallMilliseconds())
+        .build();
+  }
+
   /** Returns the list as one process reaches it. */
   public InstanceList instanceList(PausableTimers process) {
     return () -> {
-      InstanceListing listing =
-          InstanceListing.newBuilder()
-              .addAllInstances(instances.values())
-              .setAsOfMilliseconds(clock.wallMilliseconds())
-              .build();
-      return answer(process, Either.right(listing));
+      InstanceListing answered = frozen == null ? listing() : frozen;
+      return answer(process, Either.right(answered));
     };
   }
 
