Let an entry's part of the slots follow the waiting requests

Cause: with equal parts, entries that are reached by teams beyond their share hold slots that an entry with requests of teams below their share lacks; a queue at one entry cannot mend that. Change: SlotPart gives the mean of the equal part and the part that is due by the teams' shares and where their requests wait. The entry process still uses equal parts (the constructor with three arguments).

--- a/experiment/src/main/java/org/flamingochute/experiment/request/RequestPolicies.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/request/RequestPolicies.java
@@ -1,6 +1,6 @@
 package org.flamingochute.experiment.request;
 
-import java.util.function.BiFunction;
+import java.util.function.DoubleSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.flamingochute.decision.admission.FairQueueSettings;
 import org.flamingochute.decision.admission.FairRequestQueue;
@@ -46,6 +46,16 @@
     return fair("fair-by-deadline", new WithinTeamOrder.EarliestDeadline(), true);
   }
 
+  /** The fair queue with a part of the slots that follows the waiting requests. */
+  static RequestPolicy fairSlots() {
+    RequestPolicy fair = fairFleet();
+    ChooserSource chooser =
+        (random, entries, slotPart) ->
+            new LeastLoadedOfTwoChooser(
+                random, new OutlierDetector(OutlierSettings.defaults()), () -> entries, slotPart);
+    return new RequestPolicy("fair-slots", fair.queue(), chooser, true, true);
+  }
+
   private static RequestPolicy fair(String name, WithinTeamOrder order, boolean gossips) {
     FairQueueSettings settings = FairQueueSettings.builder().bounds(BOUNDS).order(order).build();
     return new RequestPolicy(
@@ -57,17 +67,13 @@
   }
 
   /** Fair queueing with another way to choose endpoints. */
-  static RequestPolicy withChooser(
-      String name,
-      BiFunction<UniformRandomProvider, Integer, EndpointChooser> chooser,
-      boolean gossipsEndpoints) {
+  static RequestPolicy withChooser(String name, ChooserSource chooser, boolean gossipsEndpoints) {
     RequestPolicy fair = fairFleet();
     return new RequestPolicy(name, fair.queue(), chooser, gossipsEndpoints, true);
   }
 
-  static BiFunction<UniformRandomProvider, Integer, EndpointChooser> choosing(
-      EndpointPreference preference, double guaranteedFactor) {
-    return (random, entries) ->
+  static ChooserSource choosing(EndpointPreference preference, double guaranteedFactor) {
+    return (random, entries, slotPart) ->
         new LeastLoadedOfTwoChooser(
             random,
             new OutlierDetector(OutlierSettings.defaults()),
@@ -76,7 +82,8 @@
             guaranteedFactor);
   }
 
-  static EndpointChooser random(UniformRandomProvider random, int entries) {
+  static EndpointChooser random(
+      UniformRandomProvider random, int entries, DoubleSupplier slotPart) {
     return new RandomEndpointChooser(random);
   }
 }
--- a/experiment/src/main/java/org/flamingochute/experiment/request/RequestSimulation.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/request/RequestSimulation.java
@@ -14,7 +14,7 @@
 import org.flamingochute.experiment.model.EventQueue;
 
 /** Runs one service under load with the decision code of one policy. */
-public final class RequestSimulation {
+final class RequestSimulation {
 
   private static final double EXPIRY_MILLISECONDS = 20;
 
@@ -26,7 +26,7 @@
   private final List<SimulatedEntry> entries = new ArrayList<>();
 
   /** Creates a simulation. */
-  public RequestSimulation(RequestScenario scenario, RequestPolicy policy, long seed) {
+  RequestSimulation(RequestScenario scenario, RequestPolicy policy, long seed) {
     this.scenario = scenario;
     this.draws = new Draws(seed);
     for (int i = 0; i < scenario.runners(); i++) {
@@ -41,7 +41,9 @@
           new SimulatedEntry(
               events,
               policy.queue().apply(source),
-              policy.chooser().apply(own.random(), scenario.entries()),
+              slotPart -> policy.chooser().create(own.random(), scenario.entries(), slotPart),
+              shares,
+              scenario.entries(),
               runners,
               recorder));
     }
--- a/experiment/src/main/java/org/flamingochute/experiment/request/ShareExperiment.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/request/ShareExperiment.java
@@ -40,7 +40,10 @@
   public List<Measurement> run(long seed) {
     List<RequestPolicy> policies =
         List.of(
-            RequestPolicies.firstCome(), RequestPolicies.fairLocal(), RequestPolicies.fairFleet());
+            RequestPolicies.firstCome(),
+            RequestPolicies.fairLocal(),
+            RequestPolicies.fairFleet(),
+            RequestPolicies.fairSlots());
     List<Measurement> measurements = new ArrayList<>();
     for (Company company : Company.all()) {
       for (boolean skewed : new boolean[] {false, true}) {
--- a/experiment/src/main/java/org/flamingochute/experiment/request/SimulatedEntry.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/request/SimulatedEntry.java
@@ -5,11 +5,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.DoubleSupplier;
+import java.util.function.Function;
 import org.flamingochute.decision.admission.OfferResult;
 import org.flamingochute.decision.admission.QueuedRequest;
 import org.flamingochute.decision.admission.RequestQueue;
 import org.flamingochute.decision.dispatch.EndpointChooser;
 import org.flamingochute.decision.dispatch.EndpointLoad;
+import org.flamingochute.decision.dispatch.SlotPart;
+import org.flamingochute.decision.dispatch.TeamWaiting;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.TeamId;
 import org.flamingochute.experiment.model.Company;
@@ -25,17 +29,24 @@
   private final RequestRecorder recorder;
   private final Map<InstanceId, Integer> ownInFlight = new HashMap<>();
   private final Map<SimulatedEntry, Map<InstanceId, Integer>> remoteInFlight = new HashMap<>();
+  private final Map<TeamId, Integer> shares;
+  private final int entryCount;
+  private final Map<SimulatedEntry, Map<TeamId, Integer>> remoteWaiting = new HashMap<>();
   private final Map<TeamId, Integer> startedSinceGossip = new HashMap<>();
 
   SimulatedEntry(
       EventQueue events,
       RequestQueue<SimulatedRequest> queue,
-      EndpointChooser chooser,
+      Function<DoubleSupplier, EndpointChooser> chooser,
+      Map<TeamId, Integer> shares,
+      int entryCount,
       Map<InstanceId, SimulatedRunner> runners,
       RequestRecorder recorder) {
     this.events = events;
     this.queue = queue;
-    this.chooser = chooser;
+    this.chooser = chooser.apply(this::slotPart);
+    this.shares = shares;
+    this.entryCount = entryCount;
     this.runners = runners;
     this.recorder = recorder;
   }
@@ -99,6 +110,19 @@
     dispatch();
   }
 
+  private double slotPart() {
+    List<TeamWaiting> teams = new ArrayList<>();
+    for (Map.Entry<TeamId, Integer> entry : shares.entrySet()) {
+      int own = queue.size(entry.getKey());
+      int total = own;
+      for (Map<TeamId, Integer> waiting : remoteWaiting.values()) {
+        total += waiting.getOrDefault(entry.getKey(), 0);
+      }
+      teams.add(new TeamWaiting(entry.getValue(), own, total));
+    }
+    return SlotPart.of(teams, entryCount);
+  }
+
   private List<EndpointLoad> loads() {
     List<EndpointLoad> loads = new ArrayList<>();
     for (InstanceId runner : runners.keySet()) {
@@ -116,6 +140,8 @@
   void gossip(List<SimulatedEntry> entries, boolean endpoints, boolean service) {
     Map<InstanceId, Integer> inFlight = Map.copyOf(ownInFlight);
     Map<TeamId, Integer> started = Map.copyOf(startedSinceGossip);
+    Map<TeamId, Integer> waiting = new HashMap<>();
+    shares.keySet().forEach(team -> waiting.put(team, queue.size(team)));
     startedSinceGossip.clear();
     for (SimulatedEntry other : entries) {
       if (other == this) {
@@ -126,6 +152,7 @@
           () -> {
             if (endpoints) {
               other.remoteInFlight.put(this, inFlight);
+              other.remoteWaiting.put(this, waiting);
             }
             if (service) {
               started.forEach(other.queue::observeRemoteService);
--- a/experiment/src/test/java/org/flamingochute/experiment/ExperimentTargetTest.java
+++ b/experiment/src/test/java/org/flamingochute/experiment/ExperimentTargetTest.java
@@ -33,6 +33,10 @@
   @CsvSource({
     "share,rueda even,fair-fleet,least part of share,0.95,99",
     "share,repuestos even,fair-fleet,least part of share,0.95,99",
+    "share,rueda even,fair-slots,least part of share,0.95,99",
+    "share,repuestos even,fair-slots,least part of share,0.95,99",
+    "share,rueda skewed,fair-slots,least part of share,0.95,99",
+    "share,repuestos skewed,fair-slots,least part of share,0.95,99",
     "overload,rueda,fair-fleet,answered of capacity,0.9,2",
     "overload,repuestos,fair-fleet,answered of capacity,0.9,2",
     "shrink,rueda,planner,shrink of bound,0,1.25",
