--- a/decision/src/main/java/org/flamingochute/decision/admission/FairRequestQueue.java
+++ b/decision/src/main/java/org/flamingochute/decision/admission/FairRequestQueue.java
@@ -31,8 +31,9 @@
  *
  * <p>Under overload the requests that are certain to be late are removed before they cost an
  * endpoint any time: a request is taken only while the time left is at least the upper estimate of
- * the service time. When the queue is full, a request pushes out the one with the latest deadline
- * of the team that has most requests waiting for its share, so that no team can keep others out.
+ * the service time, or half of the time that it came with when the estimate is larger. When the
+ * queue is full, a request pushes out the one with the latest deadline of the team that has most
+ * requests waiting for its share, so that no team can keep others out.
  */
 public final class FairRequestQueue<T> implements RequestQueue<T> {
 
@@ -57,7 +58,7 @@
     lock.lock();
     try {
       TeamBacklog<T> team = team(request.team());
-      if (request.deadlineMilliseconds() < earliestEnd(team, nowMilliseconds)) {
+      if (team.isUnreachable(request, nowMilliseconds)) {
         return new OfferResult.Refused<>(ShedReason.DEADLINE_UNREACHABLE);
       }
       if (team.size() >= settings.bounds().maximumWaitingPerTeam()) {
@@ -239,12 +240,11 @@
     Iterator<TeamBacklog<T>> iterator = backlogged.values().iterator();
     while (iterator.hasNext()) {
       TeamBacklog<T> team = iterator.next();
-      double earliestEnd = earliestEnd(team, nowMilliseconds);
-      Optional<QueuedRequest<T>> late = team.removeDueBefore(earliestEnd);
+      Optional<QueuedRequest<T>> late = team.removeUnreachable(nowMilliseconds);
       while (late.isPresent()) {
         waiting--;
         passedOver.add(new ShedRequest<>(late.get(), ShedReason.DEADLINE_UNREACHABLE));
-        late = team.removeDueBefore(earliestEnd);
+        late = team.removeUnreachable(nowMilliseconds);
       }
       if (team.isEmpty()) {
         iterator.remove();
@@ -252,10 +252,6 @@
     }
   }
 
-  private double earliestEnd(TeamBacklog<T> team, long nowMilliseconds) {
-    return nowMilliseconds + Math.max(1, team.serviceTime().upperMilliseconds());
-  }
-
   private int share(TeamId team) {
     return Math.max(1, shares.share(team));
   }
--- a/decision/src/main/java/org/flamingochute/decision/admission/TeamBacklog.java
+++ b/decision/src/main/java/org/flamingochute/decision/admission/TeamBacklog.java
@@ -13,6 +13,9 @@
  */
 final class TeamBacklog<T> {
 
+  /** Part of a request's time that the estimate of the service time may claim. */
+  private static final double LARGEST_ESTIMATED_PART = 0.5;
+
   private final TreeSet<Waiting<T>> byDeadline = new TreeSet<>(Waiting.BY_DEADLINE);
   private final NavigableMap<Long, Waiting<T>> bySequence = new TreeMap<>();
   private final ServiceTimeEstimator serviceTime;
@@ -51,19 +54,32 @@
     return last.request;
   }
 
-  /** Removes the request with the earliest deadline when it is due before the given time. */
-  Optional<QueuedRequest<T>> removeDueBefore(double milliseconds) {
+  /** Removes the request with the earliest deadline when it can not be answered in time. */
+  Optional<QueuedRequest<T>> removeUnreachable(long nowMilliseconds) {
     if (byDeadline.isEmpty()) {
       return Optional.empty();
     }
     Waiting<T> first = byDeadline.first();
-    if (first.request.deadlineMilliseconds() >= milliseconds) {
+    if (!isUnreachable(first.request, nowMilliseconds)) {
       return Optional.empty();
     }
     remove(first);
     return Optional.of(first.request);
   }
 
+  /**
+   * Tells whether a request can not be answered in time by the upper estimate of the service time.
+   *
+   * <p>The estimate counts for at most half of the time that the request came with. Otherwise a
+   * single slow answer could raise it above the time of every request, and with none served the
+   * estimate would never come down again.
+   */
+  boolean isUnreachable(QueuedRequest<T> request, long nowMilliseconds) {
+    long given = request.deadlineMilliseconds() - request.arrivalMilliseconds();
+    double needed = Math.min(serviceTime.upperMilliseconds(), given * LARGEST_ESTIMATED_PART);
+    return request.deadlineMilliseconds() < nowMilliseconds + Math.max(1, needed);
+  }
+
   boolean removeSame(QueuedRequest<T> request) {
     Iterator<Waiting<T>> iterator = byDeadline.iterator();
     while (iterator.hasNext()) {
--- a/decision/src/test/java/org/flamingochute/decision/admission/FairRequestQueueTest.java
+++ b/decision/src/test/java/org/flamingochute/decision/admission/FairRequestQueueTest.java
@@ -151,6 +151,15 @@
         equalTo(new OfferResult.Refused<>(ShedReason.DEADLINE_UNREACHABLE)));
   }
 
+  @Test
+  void oneSlowAnswerDoesNotKeepAllLaterRequestsOut() {
+    FairRequestQueue<Integer> queue = queue(10, Map.of(A, 1));
+    queue.observeServiceTime(A, 4_000);
+    QueuedRequest<Integer> next = new QueuedRequest<>(A, 100, 5_100, 2);
+    assertThat(queue.offer(next, 100), instanceOf(OfferResult.Queued.class));
+    assertThat(queue.poll(101, team -> true), equalTo(Optional.of(next)));
+  }
+
   @Test
   void servesByDeadlineAndNewestUnderOverload() {
     FairRequestQueue<Integer> queue = queue(10, Map.of(A, 1));
