--- a/entry/src/main/java/org/flamingochute/entry/log/LogText.java
+++ b/decision/src/main/java/org/flamingochute/decision/misc/LogText.java
@@ -1,12 +1,15 @@
-package org.flamingochute.entry.log;
+package org.flamingochute.decision.misc;
 
 /** Writes texts into log lines so that a line stays one line and its pairs stay separate. */
 public final class LogText {
   private LogText() {}
 
-  /** Returns a text in double quotes, with quotes, backslashes and control characters escaped. */
-  public static String quoted(String text) {
-    String value = text == null ? "" : text;
+  /**
+   * Returns the text of a value in double quotes, with quotes, backslashes and control characters
+   * escaped.
+   */
+  public static String quoted(Object text) {
+    String value = text == null ? "" : text.toString();
     StringBuilder builder = new StringBuilder(value.length() + 2);
     builder.append('"');
     for (int i = 0; i < value.length(); i++) {
--- a/engine/src/main/java/org/flamingochute/engine/job/JobPlacer.java
+++ b/engine/src/main/java/org/flamingochute/engine/job/JobPlacer.java
@@ -14,6 +14,7 @@
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.identity.TeamId;
+import org.flamingochute.decision.misc.LogText;
 import org.flamingochute.decision.placement.PlacementDecision;
 import org.flamingochute.decision.placement.PlacementInput;
 import org.flamingochute.decision.placement.PlacementPolicy;
@@ -227,7 +228,7 @@
       }
     }
     metrics.counter("jobs.parked").inc();
-    logger.atWarning().log("event=job_parked job=%s reason=\"%s\"", job, reason);
+    logger.atWarning().log("event=job_parked job=%s reason=%s", job, LogText.quoted(reason));
     JobParked parked = JobParked.newBuilder().setJob(job.value()).setReason(reason).build();
     appender
         .append(LogRecord.newBuilder().setJobParked(parked), APPEND_MILLISECONDS)
--- a/engine/src/main/java/org/flamingochute/engine/log/LogAppender.java
+++ b/engine/src/main/java/org/flamingochute/engine/log/LogAppender.java
@@ -10,10 +10,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.flamingochute.decision.agreement.AgreedState;
 import org.flamingochute.decision.agreement.AgreementListener;
 import org.flamingochute.decision.agreement.FoldResult;
 import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.decision.misc.LogText;
 import org.flamingochute.platform.PlatformError;
 import org.flamingochute.platform.PlatformLog;
 import org.flamingochute.platform.Timers;
@@ -41,6 +43,9 @@
   /** Time before an append is tried again after a failure. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(100);
 
+  /** Seconds between two warnings of one kind; the metrics count every failure. */
+  private static final int WARNING_SECONDS = 5;
+
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final PlatformLog log;
@@ -204,9 +209,9 @@
       return;
     }
     metrics.counter("log.failed_appends").inc();
-    logger.atWarning().log(
-        "event=log_append_failed records=%d detail=\"%s\"",
-        batch.size(), answer.getLeft().detail());
+    logger.atWarning().atMostEvery(WARNING_SECONDS, TimeUnit.SECONDS).log(
+        "event=log_append_failed records=%d detail=%s",
+        batch.size(), LogText.quoted(answer.getLeft().detail()));
     if (answer.getLeft() instanceof PlatformError.Unknown) {
       expect(batch);
       settle(batch);
--- a/engine/src/main/java/org/flamingochute/engine/log/LogFollower.java
+++ b/engine/src/main/java/org/flamingochute/engine/log/LogFollower.java
@@ -10,7 +10,9 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import org.flamingochute.decision.agreement.AgreedState;
+import org.flamingochute.decision.misc.LogText;
 import org.flamingochute.engine.task.RepeatingTask;
 import org.flamingochute.platform.PlatformError;
 import org.flamingochute.platform.PlatformLog;
@@ -39,6 +41,9 @@
   /** Records that are asked for in one read. */
   private static final int READ_RECORDS = 500;
 
+  /** Seconds between two warnings of one kind; the metrics count every failure. */
+  private static final int WARNING_SECONDS = 5;
+
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final PlatformLog log;
@@ -261,7 +266,8 @@
 
   private void passFailed(List<CompletableFuture<Boolean>> served, String detail) {
     metrics.counter("log.failed_reads").inc();
-    logger.atWarning().log("event=log_read_failed detail=\"%s\"", detail);
+    logger.atWarning().atMostEvery(WARNING_SECONDS, TimeUnit.SECONDS).log(
+        "event=log_read_failed detail=%s", LogText.quoted(detail));
     endPass(served, false);
   }
 
--- a/engine/src/main/java/org/flamingochute/engine/maintenance/StopRequester.java
+++ b/engine/src/main/java/org/flamingochute/engine/maintenance/StopRequester.java
@@ -11,6 +11,7 @@
 import org.flamingochute.decision.error.ErrorReport;
 import org.flamingochute.decision.identity.Incarnation;
 import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.decision.misc.LogText;
 import org.flamingochute.engine.log.AppendOutcome;
 import org.flamingochute.engine.log.LogAppender;
 import org.flamingochute.platform.Timers;
@@ -66,7 +67,8 @@
   private void takeOutcome(InstanceId instance, AppendOutcome outcome) {
     if (outcome instanceof AppendOutcome.Folded(long offset, FoldResult.Refused(ErrorReport why))) {
       metrics.counter("stops.refused").inc();
-      logger.atInfo().log("event=stop_refused instance=%s report=\"%s\"", instance, why);
+      logger.atInfo().log(
+          "event=stop_refused instance=%s report=%s", instance, LogText.quoted(why));
       noteRefused(instance);
     }
     synchronized (this) {
--- a/engine/src/main/java/org/flamingochute/engine/membership/ListObserver.java
+++ b/engine/src/main/java/org/flamingochute/engine/membership/ListObserver.java
@@ -11,11 +11,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.flamingochute.decision.agreement.AgreedView;
 import org.flamingochute.decision.agreement.AgreementListener;
 import org.flamingochute.decision.identity.Identifiers;
 import org.flamingochute.decision.identity.Incarnation;
 import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.decision.misc.LogText;
 import org.flamingochute.engine.log.LogAppender;
 import org.flamingochute.engine.task.RepeatingTask;
 import org.flamingochute.platform.InstanceList;
@@ -47,6 +49,9 @@
   /** Time that an observation may take to reach the log. */
   private static final long APPEND_MILLISECONDS = 5_000;
 
+  /** Seconds between two warnings of one kind; the metrics count every failure. */
+  private static final int WARNING_SECONDS = 5;
+
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final InstanceList list;
@@ -159,7 +164,8 @@
   private void take(Either<PlatformError, InstanceListing> answer) {
     if (answer.isLeft()) {
       metrics.counter("list.failed_reads").inc();
-      logger.atWarning().log("event=list_read_failed detail=\"%s\"", answer.getLeft().detail());
+      logger.atWarning().atMostEvery(WARNING_SECONDS, TimeUnit.SECONDS).log(
+          "event=list_read_failed detail=%s", LogText.quoted(answer.getLeft().detail()));
       return;
     }
     InstanceListing listing = answer.get();
@@ -252,7 +258,8 @@
       return;
     }
     logger.atWarning().log(
-        "event=member_gone_recorded incarnation=%s evidence=\"%s\"", incarnation, evidence);
+        "event=member_gone_recorded incarnation=%s evidence=%s",
+        incarnation, LogText.quoted(evidence));
     metrics.counter("members.recorded_gone").inc();
     MemberGone gone =
         MemberGone.newBuilder().setIncarnation(incarnation.value()).setEvidence(evidence).build();
--- a/engine/src/main/java/org/flamingochute/engine/membership/MembershipKeeper.java
+++ b/engine/src/main/java/org/flamingochute/engine/membership/MembershipKeeper.java
@@ -8,6 +8,7 @@
 import org.flamingochute.decision.agreement.AgreementListener;
 import org.flamingochute.decision.agreement.FoldResult;
 import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.decision.misc.LogText;
 import org.flamingochute.engine.log.AppendOutcome;
 import org.flamingochute.engine.log.LogAppender;
 import org.flamingochute.platform.Timers;
@@ -95,7 +96,7 @@
       return;
     }
     if (outcome instanceof AppendOutcome.Folded(long offset, FoldResult.Refused refused)) {
-      logger.atWarning().log("event=join_refused report=\"%s\"", refused.report());
+      logger.atWarning().log("event=join_refused report=%s", LogText.quoted(refused.report()));
     }
     timers.schedule(RETRY_DELAY, this::join);
   }
--- a/engine/src/main/java/org/flamingochute/engine/peer/PeerCatchUp.java
+++ b/engine/src/main/java/org/flamingochute/engine/peer/PeerCatchUp.java
@@ -5,6 +5,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.flamingochute.decision.agreement.AgreedState;
 import org.flamingochute.decision.identity.Incarnation;
+import org.flamingochute.decision.misc.LogText;
 import org.flamingochute.engine.log.LogFollower;
 import org.flamingochute.engine.log.RecentRecords;
 import org.flamingochute.platform.Timers;
@@ -126,7 +127,8 @@
       follower.takeImage(AgreedStateImage.parseFrom(response.getImage()), "peer");
     } catch (InvalidProtocolBufferException malformed) {
       metrics.counter("peers.malformed_images").inc();
-      logger.atWarning().log("event=peer_image_malformed detail=\"%s\"", malformed.getMessage());
+      logger.atWarning().log(
+          "event=peer_image_malformed detail=%s", LogText.quoted(malformed.getMessage()));
     }
   }
 
--- a/engine/src/main/java/org/flamingochute/engine/peer/PeerRouter.java
+++ b/engine/src/main/java/org/flamingochute/engine/peer/PeerRouter.java
@@ -6,6 +6,7 @@
 import org.flamingochute.decision.identity.Identifiers;
 import org.flamingochute.decision.identity.Incarnation;
 import org.flamingochute.decision.identity.TeamId;
+import org.flamingochute.decision.misc.LogText;
 import org.flamingochute.engine.log.FreshnessMonitor;
 import org.flamingochute.engine.request.EndpointTable;
 import org.flamingochute.platform.PeerTransport;
@@ -110,7 +111,7 @@
   private void drop(PeerFrame frame, String reason) {
     metrics.counter("peers.frames_dropped").inc();
     logger.atFine().log(
-        "event=peer_frame_dropped sender=%s body=%s reason=\"%s\"",
-        frame.getSender(), frame.getBodyCase(), reason);
+        "event=peer_frame_dropped sender=%s body=%s reason=%s",
+        frame.getSender(), frame.getBodyCase(), LogText.quoted(reason));
   }
 }
--- a/engine/src/main/java/org/flamingochute/engine/request/AttemptRunner.java
+++ b/engine/src/main/java/org/flamingochute/engine/request/AttemptRunner.java
@@ -14,6 +14,7 @@
 import org.flamingochute.decision.error.ErrorReport;
 import org.flamingochute.decision.identity.Incarnation;
 import org.flamingochute.decision.identity.TeamId;
+import org.flamingochute.decision.misc.LogText;
 import org.flamingochute.engine.CallerOutcome;
 import org.flamingochute.engine.CallerRequest;
 import org.flamingochute.platform.EndpointClient;
@@ -199,7 +200,8 @@
     }
     metrics.counter("requests.attempts_not_run").inc();
     logger.atFine().log(
-        "event=attempt_not_run endpoint=%s detail=\"%s\"", dispatch.endpoint(), notRun.detail());
+        "event=attempt_not_run endpoint=%s detail=%s",
+        dispatch.endpoint(), LogText.quoted(notRun.detail()));
     retryOrRefuse(dispatch, dispatcher, notRun.detail());
   }
 
@@ -213,7 +215,8 @@
     noteFailure(dispatch);
     metrics.counter("requests.attempts_unknown").inc();
     logger.atInfo().log(
-        "event=attempt_unknown endpoint=%s detail=\"%s\"", dispatch.endpoint(), unknown.detail());
+        "event=attempt_unknown endpoint=%s detail=%s",
+        dispatch.endpoint(), LogText.quoted(unknown.detail()));
     if (!sent.idempotent()) {
       ticket.failUnknown(unknown.detail());
       return;
--- a/entry/src/main/java/org/flamingochute/entry/http/InputGuard.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/InputGuard.java
@@ -14,7 +14,7 @@
 import java.util.Map;
 import org.flamingochute.decision.error.ErrorCode;
 import org.flamingochute.decision.error.ErrorReport;
-import org.flamingochute.entry.log.LogText;
+import org.flamingochute.decision.misc.LogText;
 import org.flamingochute.platform.HeaderField;
 import org.flamingochute.platform.http.MessageSyntax;
 import org.flamingochute.schema.LimitSection;
--- a/entry/src/main/java/org/flamingochute/entry/http/ServerObserver.java
+++ b/entry/src/main/java/org/flamingochute/entry/http/ServerObserver.java
@@ -7,7 +7,7 @@
 import io.activej.http.HttpServerConnection;
 import io.activej.http.MalformedHttpException;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.flamingochute.entry.log.LogText;
+import org.flamingochute.decision.misc.LogText;
 
 /** Counts the open connections of a server and reports messages that are not HTTP. */
 final class ServerObserver implements HttpServer.Inspector {
--- a/entry/src/main/java/org/flamingochute/entry/log/KeyValueFormatter.java
+++ b/entry/src/main/java/org/flamingochute/entry/log/KeyValueFormatter.java
@@ -6,6 +6,7 @@
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
 import java.util.regex.Pattern;
+import org.flamingochute.decision.misc.LogText;
 
 /**
  * Writes each log record as one line: {@code time=... level=... event=... key=value ...}.
--- a/entry/src/main/java/org/flamingochute/entry/peer/NettyPeerTransport.java
+++ b/entry/src/main/java/org/flamingochute/entry/peer/NettyPeerTransport.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.flamingochute.decision.misc.LogText;
 import org.flamingochute.platform.PeerTransport;
 import org.flamingochute.platform.http.NumericAddress;
 import org.flamingochute.schema.PeerFrame;
@@ -165,7 +166,7 @@
   private void drop(String peerAddress, String reason) {
     settings.metrics().dropped().inc();
     logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
-        "event=peer_frame_dropped peer=%s reason=\"%s\"", peerAddress, reason);
+        "event=peer_frame_dropped peer=%s reason=%s", peerAddress, LogText.quoted(reason));
   }
 
   private boolean isAllowed(InetSocketAddress address) {
--- a/entry/src/main/java/org/flamingochute/entry/peer/PeerHandler.java
+++ b/entry/src/main/java/org/flamingochute/entry/peer/PeerHandler.java
@@ -7,7 +7,7 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import java.security.SecureRandom;
 import java.util.concurrent.TimeUnit;
-import org.flamingochute.entry.log.LogText;
+import org.flamingochute.decision.misc.LogText;
 import org.flamingochute.schema.PeerFrame;
 import org.flamingochute.schema.PeerHello;
 import org.flamingochute.schema.PeerHelloProof;
--- a/standin/src/main/java/org/flamingochute/standin/http/MessagePoster.java
+++ b/standin/src/main/java/org/flamingochute/standin/http/MessagePoster.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.flamingochute.decision.misc.LogText;
 import org.flamingochute.platform.http.ConnectionReuse;
 import org.flamingochute.platform.http.EventLoopGroup;
 import org.flamingochute.platform.http.ExchangeClient;
@@ -66,8 +67,8 @@
       return Optional.empty();
     }
     logger.atWarning().log(
-        "event=post_failed address=%s path=%s detail=\"%s\"",
-        request.address().text(), request.path(), result);
+        "event=post_failed address=%s path=%s detail=%s",
+        request.address().text(), request.path(), LogText.quoted(result));
     return Optional.of(result.toString());
   }
 
