--- a/decision/src/main/java/org/flamingochute/decision/agreement/EscrowTable.java
+++ b/decision/src/main/java/org/flamingochute/decision/agreement/EscrowTable.java
@@ -1,6 +1,5 @@
 package org.flamingochute.decision.agreement;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +31,10 @@
   private final MemberTable members;
   private final AgreementListener listener;
   private final Map<TeamId, TeamEscrow> escrows = new TreeMap<>();
+
+  /** Escrows whose epoch is not settled; only these are visited at each record. */
+  private final Map<TeamId, TeamEscrow> unsettled = new TreeMap<>();
+
   private FleetDescription description = FleetDescription.getDefaultInstance();
 
   EscrowTable(MemberTable members, AgreementListener listener) {
@@ -70,6 +73,7 @@
     escrow.setCap(cap);
     escrows.put(team, escrow);
     escrow.open(position, List.of(), false, 0);
+    unsettled.put(team, escrow);
     listener.escrowEpochOpened(team, escrow.epoch(), false);
   }
 
@@ -100,6 +104,7 @@
   private void open(
       TeamId team, TeamEscrow escrow, FoldPosition position, boolean suspend, long notBefore) {
     escrow.open(position, members.incarnations(), suspend, notBefore);
+    unsettled.put(team, escrow);
     listener.escrowEpochOpened(team, escrow.epoch(), escrow.isSuspended());
   }
 
@@ -169,24 +174,23 @@
 
   /** Settles every epoch that can be settled now. */
   synchronized void closeDue(FoldPosition position) {
-    List<TeamId> removed = new ArrayList<>();
-    escrows.forEach(
-        (team, escrow) -> {
-          boolean isRemoved = !description.containsTeams(team.value());
-          boolean hasReceiver = isRemoved || !members.members().isEmpty();
-          if (!hasReceiver || !escrow.canClose(position)) {
-            return;
-          }
-          close(team, escrow);
-          if (isRemoved) {
-            removed.add(team);
-          }
-        });
-    removed.forEach(escrows::remove);
+    for (TeamId team : List.copyOf(unsettled.keySet())) {
+      TeamEscrow escrow = unsettled.get(team);
+      boolean isRemoved = !description.containsTeams(team.value());
+      boolean hasReceiver = isRemoved || !members.members().isEmpty();
+      if (!hasReceiver || !escrow.canClose(position)) {
+        continue;
+      }
+      close(team, escrow);
+      if (isRemoved) {
+        escrows.remove(team);
+      }
+    }
   }
 
   private void close(TeamId team, TeamEscrow escrow) {
     int tokens = escrow.close();
+    unsettled.remove(team);
     listener.escrowEpochClosed(team, escrow.epoch());
     mint(team, escrow, tokens);
   }
@@ -212,9 +216,9 @@
   /** Returns the next time at which an epoch can be settled, or -1. */
   synchronized long nextDueMilliseconds(long timeMilliseconds) {
     long next = -1;
-    for (TeamEscrow escrow : escrows.values()) {
+    for (TeamEscrow escrow : unsettled.values()) {
       long due = escrow.notBeforeMilliseconds();
-      boolean isAhead = !escrow.isComplete() && due > timeMilliseconds;
+      boolean isAhead = due > timeMilliseconds;
       if (isAhead && (next < 0 || due < next)) {
         next = due;
       }
@@ -236,10 +240,18 @@
   synchronized void load(FleetDescription newDescription, List<TeamEscrowImage> image) {
     description = newDescription;
     escrows.clear();
+    unsettled.clear();
     for (TeamEscrowImage escrow : image) {
       if (Identifiers.isValid(escrow.getTeam())) {
-        escrows.put(new TeamId(escrow.getTeam()), TeamEscrow.of(escrow));
+        loadOne(new TeamId(escrow.getTeam()), TeamEscrow.of(escrow));
       }
     }
   }
+
+  private void loadOne(TeamId team, TeamEscrow escrow) {
+    escrows.put(team, escrow);
+    if (!escrow.isComplete()) {
+      unsettled.put(team, escrow);
+    }
+  }
 }
