Keep one implementation of timers on threads

Cause: RealTimers of the entry and ThreadTimers of the stand-ins were the same, but for the care for tasks that throw, which the second lacked: a task that threw there ended silently.

--- a/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
+++ b/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
@@ -25,6 +25,7 @@
 import org.flamingochute.entry.metrics.ProcessMetrics;
 import org.flamingochute.entry.peer.NettyPeerTransport;
 import org.flamingochute.entry.peer.PeerTransportSettings;
+import org.flamingochute.platform.ThreadPoolTimers;
 import org.flamingochute.platform.http.EventLoopGroup;
 import org.flamingochute.platform.http.ExchangeClient;
 import org.flamingochute.platform.http.ExchangeLimits;
@@ -43,6 +44,8 @@
  * every request is refused as not run.
  */
 public final class EntryProcess {
+  private static final int TIMER_THREADS = 2;
+
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Connections of one entry to one runner: nine entries stay below the runner's 64. */
@@ -194,7 +197,8 @@
     resources.push(platform);
     ExchangeClient endpoints = new ExchangeClient(loops, endpointLimits(), metrics("endpoint"));
     resources.push(endpoints);
-    RealTimers timers = new RealTimers(processMetrics.uncaughtExceptions());
+    ThreadPoolTimers timers =
+        new ThreadPoolTimers(TIMER_THREADS, failure -> processMetrics.uncaughtExceptions().inc());
     resources.push(timers);
     return new EntryNodeSettings(
         resolved.settings(),
--- a/load/src/main/java/org/flamingochute/load/LoadClients.java
+++ b/load/src/main/java/org/flamingochute/load/LoadClients.java
@@ -6,13 +6,13 @@
 import java.util.Optional;
 import org.flamingochute.decision.error.ErrorCode;
 import org.flamingochute.decision.error.ErrorReport;
+import org.flamingochute.platform.ThreadPoolTimers;
 import org.flamingochute.platform.Timers;
 import org.flamingochute.platform.http.EventLoopGroup;
 import org.flamingochute.platform.http.ExchangeClient;
 import org.flamingochute.platform.http.ExchangeLimits;
 import org.flamingochute.platform.http.ExchangeListener;
 import org.flamingochute.platform.http.NumericAddress;
-import org.flamingochute.standin.ThreadTimers;
 
 /** The connections, clock and balancer that all callers of one run share. */
 final class LoadClients implements AutoCloseable {
@@ -24,7 +24,7 @@
 
   private final EventLoopGroup group;
   private final ExchangeClient client;
-  private final Timers timers = new ThreadTimers();
+  private final Timers timers = new ThreadPoolTimers(1, ThreadPoolTimers.TaskFailureListener.NONE);
   private final Balancer balancer;
   private final List<NumericAddress> entries;
 
--- a/standin/src/main/java/org/flamingochute/standin/http/EndpointStandIn.java
+++ b/standin/src/main/java/org/flamingochute/standin/http/EndpointStandIn.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.flamingochute.decision.error.ErrorCode;
 import org.flamingochute.decision.error.ErrorReport;
+import org.flamingochute.platform.ThreadPoolTimers;
 import org.flamingochute.platform.Timers;
 import org.flamingochute.schema.FaultSettings;
 import org.flamingochute.schema.InstanceKind;
@@ -23,7 +24,6 @@
 import org.flamingochute.standin.RunTimes;
 import org.flamingochute.standin.StandInRunner;
 import org.flamingochute.standin.StandInWorker;
-import org.flamingochute.standin.ThreadTimers;
 
 /**
  * The stand-in process of runners and workers: each instance has its own port, and all share one
@@ -43,7 +43,7 @@
   private final StandInEndpointSection settings;
   private final HttpListeners listeners;
   private final MessagePoster poster;
-  private final Timers timers = new ThreadTimers();
+  private final Timers timers = new ThreadPoolTimers(1, ThreadPoolTimers.TaskFailureListener.NONE);
   private final EndpointRecorder recorder = new EndpointRecorder();
   private final EndpointFaults faults = new EndpointFaults();
   private String address;
--- a/standin/src/main/java/org/flamingochute/standin/http/PlatformStandIn.java
+++ b/standin/src/main/java/org/flamingochute/standin/http/PlatformStandIn.java
@@ -1,6 +1,7 @@
 package org.flamingochute.standin.http;
 
 import com.google.common.flogger.FluentLogger;
+import org.flamingochute.platform.ThreadPoolTimers;
 import org.flamingochute.platform.Timers;
 import org.flamingochute.schema.InstancePower;
 import org.flamingochute.schema.ListedInstance;
@@ -8,7 +9,6 @@
 import org.flamingochute.standin.InMemoryInstanceList;
 import org.flamingochute.standin.InMemoryPlatformLog;
 import org.flamingochute.standin.InMemoryPoolControl;
-import org.flamingochute.standin.ThreadTimers;
 
 /** The platform stand-in process: log, instance list and pools behind one HTTP server. */
 public final class PlatformStandIn implements AutoCloseable {
@@ -20,7 +20,7 @@
   private final String address;
 
   private PlatformStandIn(StandInPlatformSection settings) throws StandInException {
-    Timers timers = new ThreadTimers();
+    Timers timers = new ThreadPoolTimers(1, ThreadPoolTimers.TaskFailureListener.NONE);
     InMemoryInstanceList instances =
         new InMemoryInstanceList(timers, settings.getListLagMilliseconds());
     PlatformServlet servlet =
