--- a/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
+++ b/entry/src/main/java/org/flamingochute/entry/EntryProcess.java
@@ -35,6 +35,7 @@
 import org.flamingochute.platform.http.HttpPoolControl;
 import org.flamingochute.platform.http.HttpWorkerControl;
 import org.flamingochute.platform.http.LogLimits;
+import org.flamingochute.schema.LimitSection;
 import org.flamingochute.schema.TimingSection;
 
 /**
@@ -48,10 +49,6 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Connections of one entry to one runner: nine entries stay below the runner's 64. */
-  private static final int ENDPOINT_CONNECTIONS = 7;
-
-  private static final int ENDPOINT_WAITING = 16;
   private static final int PLATFORM_CONNECTIONS = 8;
   private static final int PLATFORM_ANSWER_BYTES = 8 << 20;
 
@@ -228,10 +225,11 @@
   }
 
   private ExchangeLimits endpointLimits() {
+    LimitSection limits = resolved.settings().getLimit();
     return ExchangeLimits.builder()
-        .maximumConnections(ENDPOINT_CONNECTIONS)
-        .maximumWaiting(ENDPOINT_WAITING)
-        .maximumAnswerBytes(resolved.settings().getLimit().getMaximumBodyBytes())
+        .maximumConnections(limits.getMaximumEndpointConnections())
+        .maximumWaiting(limits.getMaximumEndpointConnections())
+        .maximumAnswerBytes(limits.getMaximumBodyBytes())
         .build();
   }
 
