Name the shards of requests and the unasked transfers by standard terms

Cause: ServiceLane, LaneTurn and TokenGift were words of our own. Change: ServiceShard, DispatchRound, TokenSurplus and surplusTransfers; no change of behaviour. Measured: promises of the engine, scenarios and mutants pass as before.

--- a/decision/src/main/java/org/flamingochute/decision/capacity/DemandTransferPolicy.java
+++ b/decision/src/main/java/org/flamingochute/decision/capacity/DemandTransferPolicy.java
@@ -61,21 +61,21 @@
   }
 
   @Override
-  public List<TokenGift> gifts(OwnTokens own, List<PeerTokens> peers) {
+  public List<TokenSurplus> surplusTransfers(OwnTokens own, List<PeerTokens> peers) {
     int spare = give(own, Integer.MAX_VALUE);
     List<PeerTokens> needy = new ArrayList<>(peers);
     needy.sort(
         Comparator.comparingInt(DemandTransferPolicy::surplus).thenComparing(PeerTokens::peer));
-    List<TokenGift> gifts = new ArrayList<>();
+    List<TokenSurplus> surplusTransfers = new ArrayList<>();
     for (PeerTokens peer : needy) {
       int part = Math.min(spare, partOfNeed(peer, peers.size()));
       if (part <= 0) {
         break;
       }
-      gifts.add(new TokenGift(peer.peer(), part));
+      surplusTransfers.add(new TokenSurplus(peer.peer(), part));
       spare -= part;
     }
-    return gifts;
+    return surplusTransfers;
   }
 
   /** Returns this entry's equal part, rounded up, of what a peer lacks. */
--- a/decision/src/main/java/org/flamingochute/decision/capacity/TokenGift.java
+++ b/decision/src/main/java/org/flamingochute/decision/capacity/TokenSurplus.java
@@ -8,4 +8,4 @@
  * @param peer the entry that gets them
  * @param tokens how many, at least 1
  */
-public record TokenGift(Incarnation peer, int tokens) {}
+public record TokenSurplus(Incarnation peer, int tokens) {}
--- a/decision/src/main/java/org/flamingochute/decision/capacity/TransferPolicy.java
+++ b/decision/src/main/java/org/flamingochute/decision/capacity/TransferPolicy.java
@@ -30,7 +30,7 @@
    * @param peers what the other members reported last; the caller takes a peer that it sent to as
    *     having none waiting until the next report
    */
-  default List<TokenGift> gifts(OwnTokens own, List<PeerTokens> peers) {
+  default List<TokenSurplus> surplusTransfers(OwnTokens own, List<PeerTokens> peers) {
     return List.of();
   }
 }
--- a/decision/src/test/java/org/flamingochute/decision/capacity/DemandTransferPolicyTest.java
+++ b/decision/src/test/java/org/flamingochute/decision/capacity/DemandTransferPolicyTest.java
@@ -56,8 +56,8 @@
       peers.add(new PeerTokens(peer, Integer.parseInt(parts[0]), Integer.parseInt(parts[1])));
     }
     String text =
-        policy.gifts(new OwnTokens(free, 0, waiting, 0), peers).stream()
-            .map(gift -> gift.peer() + ":" + gift.tokens())
+        policy.surplusTransfers(new OwnTokens(free, 0, waiting, 0), peers).stream()
+            .map(surplus -> surplus.peer() + ":" + surplus.tokens())
             .collect(Collectors.joining(" "));
     assertThat(text, equalTo(expected));
   }
--- a/engine/src/main/java/org/flamingochute/engine/EntryNodeParts.java
+++ b/engine/src/main/java/org/flamingochute/engine/EntryNodeParts.java
@@ -142,12 +142,12 @@
   }
 
   private void tokensCame() {
-    requests.dispatcher().takeTurns();
+    requests.dispatcher().dispatchAll();
     placers.step();
   }
 
   private void afterHeartbeat() {
-    requests.dispatcher().takeTurns();
+    requests.dispatcher().dispatchAll();
     escrow.beat();
     snapshots.writeIfDue();
   }
--- a/engine/src/main/java/org/flamingochute/engine/request/AttemptRunner.java
+++ b/engine/src/main/java/org/flamingochute/engine/request/AttemptRunner.java
@@ -110,7 +110,7 @@
       dispatch.ticket().refuse(refusal.get());
       return;
     }
-    if (!endpoints.mayTakeWork(dispatch.lane().service(), dispatch.endpoint())) {
+    if (!endpoints.mayTakeWork(dispatch.shard().service(), dispatch.endpoint())) {
       release(dispatch);
       dispatcher.retry(dispatch, Duration.ZERO);
       return;
@@ -182,7 +182,7 @@
     } else {
       outliers.recordSuccess(dispatch.endpoint(), now);
     }
-    dispatch.lane().queue().observeServiceTime(ticket.team(), now - begun);
+    dispatch.shard().queue().observeServiceTime(ticket.team(), now - begun);
     metrics.timer("requests.service_time").update(now - begun, TimeUnit.MILLISECONDS);
     ticket.answer(
         new CallerOutcome.Answered(answered.status(), answered.headers(), answered.body()));
@@ -243,7 +243,7 @@
     boolean isSpent =
         ticket.failures() >= MAXIMUM_FAILED_ATTEMPTS || ticket.attempts() >= MAXIMUM_BUSY_ATTEMPTS;
     if (isSpent || delay >= left(ticket)) {
-      ticket.refuse(ErrorReport.of(ErrorCode.NO_ENDPOINT, dispatch.lane().service(), detail));
+      ticket.refuse(ErrorReport.of(ErrorCode.NO_ENDPOINT, dispatch.shard().service(), detail));
       return;
     }
     dispatcher.retry(dispatch, Duration.ofMillis(delay));
@@ -255,7 +255,7 @@
   }
 
   private void noteFailure(Dispatch dispatch) {
-    int count = endpoints.endpointCount(dispatch.lane().service());
+    int count = endpoints.endpointCount(dispatch.shard().service());
     outliers.recordFailure(dispatch.endpoint(), count, timers.monotonicMilliseconds());
   }
 
--- a/engine/src/main/java/org/flamingochute/engine/request/Dispatch.java
+++ b/engine/src/main/java/org/flamingochute/engine/request/Dispatch.java
@@ -5,8 +5,8 @@
 /**
  * One attempt: a ticket with a token in hand and a place at an endpoint.
  *
- * @param lane queue that the ticket came from
+ * @param shard queue that the ticket came from
  * @param endpoint the endpoint that the place is reserved at
  * @param address IP address and port of the endpoint
  */
-record Dispatch(RequestTicket ticket, ServiceLane lane, InstanceId endpoint, String address) {}
+record Dispatch(RequestTicket ticket, ServiceShard shard, InstanceId endpoint, String address) {}
--- a/engine/src/main/java/org/flamingochute/engine/request/RequestDispatcher.java
+++ b/engine/src/main/java/org/flamingochute/engine/request/RequestDispatcher.java
@@ -20,15 +20,15 @@
 /**
  * Moves requests from their queues to endpoints.
  *
- * <p>A turn of a lane is taken whenever something may have become possible: a request came, an
- * attempt ended, a token arrived, or the agreed state changed. A request that waits at its deadline
- * is refused by its timer.
+ * <p>A dispatch round of a shard is made whenever something may have become possible: a request
+ * came, an attempt ended, a token arrived, or the agreed state changed. A request that waits at its
+ * deadline is refused by its timer.
  */
 public final class RequestDispatcher implements FoldReaction {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private final Map<ServiceId, ServiceLane> lanes = new ConcurrentHashMap<>();
+  private final Map<ServiceId, ServiceShard> shards = new ConcurrentHashMap<>();
   private final Function<ServiceId, RequestQueue<RequestTicket>> queues;
   private final TeamTokens tokens;
   private final EndpointTable endpoints;
@@ -59,31 +59,31 @@
   /** Returns the number of requests that wait, of all services. */
   public int waiting() {
     int total = 0;
-    for (ServiceLane lane : lanes.values()) {
-      total += lane.queue().size();
+    for (ServiceShard shard : shards.values()) {
+      total += shard.queue().size();
     }
     return total;
   }
 
   /** Returns the number of requests of a service that wait. */
   public int waiting(ServiceId service) {
-    ServiceLane lane = lanes.get(service);
-    return lane == null ? 0 : lane.queue().size();
+    ServiceShard shard = shards.get(service);
+    return shard == null ? 0 : shard.queue().size();
   }
 
   /** Returns the number of requests of a team that wait, of all services. */
   public int waiting(TeamId team) {
     int total = 0;
-    for (ServiceLane lane : lanes.values()) {
-      total += lane.waiting(team);
+    for (ServiceShard shard : shards.values()) {
+      total += shard.waiting(team);
     }
     return total;
   }
 
   /** Notes that other entries started requests of a team, for its fair share over the fleet. */
   public void remoteStarts(TeamId team, long requests) {
-    for (ServiceLane lane : lanes.values()) {
-      lane.queue().observeRemoteService(team, (double) requests / lanes.size());
+    for (ServiceShard shard : shards.values()) {
+      shard.queue().observeRemoteService(team, (double) requests / shards.size());
     }
   }
 
@@ -91,89 +91,93 @@
   void submit(RequestTicket ticket) {
     long now = timers.monotonicMilliseconds();
     long left = Math.max(0, ticket.deadlineMilliseconds() - now);
-    ServiceLane lane = lane(ticket);
+    ServiceShard shard = shard(ticket);
     Timers.Cancellation deadline =
-        timers.schedule(Duration.ofMillis(left + 1), () -> takeTurn(lane));
+        timers.schedule(Duration.ofMillis(left + 1), () -> dispatchWaiting(shard));
     ticket.outcome().thenAccept(outcome -> deadline.cancel());
-    enqueue(ticket, lane);
+    enqueue(ticket, shard);
   }
 
-  /** Takes a turn of every lane. */
-  public void takeTurns() {
-    for (ServiceLane lane : lanes.values()) {
-      takeTurn(lane);
+  /** Dispatches what can be dispatched now, in every shard. */
+  public void dispatchAll() {
+    for (ServiceShard shard : shards.values()) {
+      dispatchWaiting(shard);
     }
   }
 
   @Override
   public void folded() {
-    takeTurns();
+    dispatchAll();
   }
 
-  private ServiceLane lane(RequestTicket ticket) {
-    return lanes.computeIfAbsent(
+  private ServiceShard shard(RequestTicket ticket) {
+    return shards.computeIfAbsent(
         ticket.request().service(),
-        service -> new ServiceLane(service, queues.apply(service), tokens, endpoints));
+        service -> new ServiceShard(service, queues.apply(service), tokens, endpoints));
   }
 
-  private void enqueue(RequestTicket ticket, ServiceLane lane) {
-    switch (lane.offer(ticket, timers.monotonicMilliseconds())) {
+  private void enqueue(RequestTicket ticket, ServiceShard shard) {
+    switch (shard.offer(ticket, timers.monotonicMilliseconds())) {
       case OfferResult.Queued<RequestTicket> queued -> {}
       case OfferResult.QueuedWithEviction<RequestTicket>(ShedRequest<RequestTicket> evicted) ->
-          refuse(lane, evicted);
-      case OfferResult.Refused<RequestTicket>(ShedReason reason) -> refuse(lane, ticket, reason);
+          refuse(shard, evicted);
+      case OfferResult.Refused<RequestTicket>(ShedReason reason) -> refuse(shard, ticket, reason);
     }
-    takeTurn(lane);
+    dispatchWaiting(shard);
   }
 
-  private void takeTurn(ServiceLane lane) {
-    LaneTurn turn = lane.turn(timers.monotonicMilliseconds());
-    for (ShedRequest<RequestTicket> shed : turn.shed()) {
-      refuse(lane, shed);
+  private void dispatchWaiting(ServiceShard shard) {
+    DispatchRound round = shard.dispatch(timers.monotonicMilliseconds());
+    for (ShedRequest<RequestTicket> shed : round.shed()) {
+      refuse(shard, shed);
     }
-    for (Dispatch dispatch : turn.dispatches()) {
+    for (Dispatch dispatch : round.dispatches()) {
       attempts.run(dispatch, this);
     }
-    for (TeamId team : turn.lacking()) {
+    for (TeamId team : round.lacking()) {
       tokens.wanted(team);
     }
   }
 
-  /** Takes the next turn after an attempt, and queues its ticket again when it is to be retried. */
+  /**
+   * Takes the next dispatch round after an attempt, and queues its ticket again when it is to be
+   * retried.
+   */
   void attemptEnded(Dispatch dispatch) {
-    takeTurn(dispatch.lane());
+    dispatchWaiting(dispatch.shard());
   }
 
   /** Queues a ticket again after a delay. */
   void retry(Dispatch dispatch, Duration delay) {
     metrics.counter("requests.retried").inc();
-    timers.schedule(delay, () -> enqueue(dispatch.ticket(), dispatch.lane()));
+    timers.schedule(delay, () -> enqueue(dispatch.ticket(), dispatch.shard()));
   }
 
-  private void refuse(ServiceLane lane, ShedRequest<RequestTicket> shed) {
-    refuse(lane, shed.request().content(), shed.reason());
+  private void refuse(ServiceShard shard, ShedRequest<RequestTicket> shed) {
+    refuse(shard, shed.request().content(), shed.reason());
   }
 
-  private void refuse(ServiceLane lane, RequestTicket ticket, ShedReason reason) {
+  private void refuse(ServiceShard shard, RequestTicket ticket, ShedReason reason) {
     metrics.counter("requests.shed").inc();
     logger.atInfo().log(
-        "event=request_shed service=%s team=%s reason=%s", lane.service(), ticket.team(), reason);
-    ticket.refuse(report(lane, ticket, reason));
+        "event=request_shed service=%s team=%s reason=%s", shard.service(), ticket.team(), reason);
+    ticket.refuse(report(shard, ticket, reason));
   }
 
-  private ErrorReport report(ServiceLane lane, RequestTicket ticket, ShedReason reason) {
+  private ErrorReport report(ServiceShard shard, RequestTicket ticket, ShedReason reason) {
     return switch (reason) {
-      case QUEUE_FULL -> ErrorReport.of(ErrorCode.QUEUE_FULL, lane.queue().size(), lane.service());
+      case QUEUE_FULL ->
+          ErrorReport.of(ErrorCode.QUEUE_FULL, shard.queue().size(), shard.service());
       case TEAM_QUEUE_FULL ->
-          ErrorReport.of(ErrorCode.QUEUE_FULL, lane.waiting(ticket.team()), lane.service());
-      case DEADLINE_UNREACHABLE -> deadlineReport(lane, ticket);
+          ErrorReport.of(ErrorCode.QUEUE_FULL, shard.waiting(ticket.team()), shard.service());
+      case DEADLINE_UNREACHABLE -> deadlineReport(shard, ticket);
     };
   }
 
-  private ErrorReport deadlineReport(ServiceLane lane, RequestTicket ticket) {
-    if (endpoints.endpointCount(lane.service()) == 0) {
+  private ErrorReport deadlineReport(ServiceShard shard, RequestTicket ticket) {
+    if (endpoints.endpointCount(shard.service()) == 0) {
       return ErrorReport.of(
-          ErrorCode.NO_ENDPOINT, lane.service(), "its pool has no instance that takes work");
+          ErrorCode.NO_ENDPOINT, shard.service(), "its pool has no instance that takes work");
     }
     if (tokens.free(ticket.team()) == 0) {
       return ErrorReport.of(ErrorCode.CAP_REACHED, ticket.team(), attempts.capOf(ticket.team()));
--- a/engine/src/main/java/org/flamingochute/engine/request/ServiceLane.java
+++ b/engine/src/main/java/org/flamingochute/engine/request/ServiceShard.java
@@ -16,10 +16,10 @@
 
 /**
  * The waiting requests of one service, and the step that pairs a request with a token and a place
- * at an endpoint. One lane is one shard: it has its own lock, under which nothing is called but the
- * queue, the tokens and the endpoint table.
+ * at an endpoint. Each shard has its own lock, under which nothing is called but the queue, the
+ * tokens and the endpoint table.
  */
-final class ServiceLane {
+final class ServiceShard {
 
   private final ServiceId service;
   private final RequestQueue<RequestTicket> queue;
@@ -27,7 +27,7 @@
   private final EndpointTable endpoints;
   private final ReentrantLock lock = new ReentrantLock();
 
-  ServiceLane(
+  ServiceShard(
       ServiceId service,
       RequestQueue<RequestTicket> queue,
       TeamTokens tokens,
@@ -56,21 +56,21 @@
   }
 
   /** Takes all that can be dispatched now, and all that can not meet its deadline any more. */
-  LaneTurn turn(long now) {
-    LaneTurn turn = new LaneTurn(new ArrayList<>(), new ArrayList<>(), new HashSet<>());
+  DispatchRound dispatch(long now) {
+    DispatchRound round = new DispatchRound(new ArrayList<>(), new ArrayList<>(), new HashSet<>());
     lock.lock();
     try {
-      while (pairOne(now, turn)) {
+      while (pairOne(now, round)) {
         continue;
       }
-      turn.shed().addAll(queue.expire(now));
+      round.shed().addAll(queue.expire(now));
     } finally {
       lock.unlock();
     }
-    return turn;
+    return round;
   }
 
-  private boolean pairOne(long now, LaneTurn turn) {
+  private boolean pairOne(long now, DispatchRound round) {
     if (queue.size() == 0) {
       return false;
     }
@@ -79,7 +79,7 @@
       return false;
     }
     Optional<QueuedRequest<RequestTicket>> next =
-        queue.poll(now, team -> hasToken(team, turn.lacking()));
+        queue.poll(now, team -> hasToken(team, round.lacking()));
     if (next.isEmpty()) {
       endpoints.release(place.get().endpoint());
       return false;
@@ -87,11 +87,11 @@
     RequestTicket ticket = next.get().content();
     if (!tokens.tryTake(ticket.team())) {
       endpoints.release(place.get().endpoint());
-      putBack(next.get(), now, turn.shed());
+      putBack(next.get(), now, round.shed());
       return false;
     }
     EndpointReservation chosen = avoidRefusing(ticket, place.get(), now);
-    turn.dispatches().add(new Dispatch(ticket, this, chosen.endpoint(), chosen.address()));
+    round.dispatches().add(new Dispatch(ticket, this, chosen.endpoint(), chosen.address()));
     return true;
   }
 
--- a/experiment/src/main/java/org/flamingochute/experiment/escrow/TokenEntry.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/escrow/TokenEntry.java
@@ -9,7 +9,7 @@
 import org.flamingochute.decision.capacity.OwnTokens;
 import org.flamingochute.decision.capacity.PeerTokens;
 import org.flamingochute.decision.capacity.TokenAsk;
-import org.flamingochute.decision.capacity.TokenGift;
+import org.flamingochute.decision.capacity.TokenSurplus;
 import org.flamingochute.decision.capacity.TransferPolicy;
 import org.flamingochute.decision.identity.Incarnation;
 import org.flamingochute.experiment.model.Company;
@@ -79,18 +79,19 @@
     if (!waiting.isEmpty()) {
       policy.asks(own(), List.copyOf(heard.values())).forEach(this::ask);
     }
-    policy.gifts(own(), List.copyOf(heard.values())).forEach(this::send);
+    policy.surplusTransfers(own(), List.copyOf(heard.values())).forEach(this::send);
   }
 
-  private void send(TokenGift gift) {
-    statistics.gift();
-    free -= gift.tokens();
-    heard.computeIfPresent(gift.peer(), (key, known) -> new PeerTokens(key, known.freeTokens(), 0));
-    TokenEntry peer = peers.get(gift.peer());
+  private void send(TokenSurplus surplus) {
+    statistics.surplus();
+    free -= surplus.tokens();
+    heard.computeIfPresent(
+        surplus.peer(), (key, known) -> new PeerTokens(key, known.freeTokens(), 0));
+    TokenEntry peer = peers.get(surplus.peer());
     events.after(
         Company.ONE_WAY_MILLISECONDS,
         () -> {
-          peer.free += gift.tokens();
+          peer.free += surplus.tokens();
           peer.dispatch();
         });
   }
--- a/experiment/src/main/java/org/flamingochute/experiment/escrow/TokenStatistics.java
+++ b/experiment/src/main/java/org/flamingochute/experiment/escrow/TokenStatistics.java
@@ -14,7 +14,7 @@
   private long offered;
   private long started;
   private long roundTrips;
-  private long gifts;
+  private long surplusTransfers;
   private double stranded;
   private long samples;
 
@@ -36,8 +36,8 @@
     roundTrips += offered;
   }
 
-  void gift() {
-    gifts++;
+  void surplus() {
+    surplusTransfers++;
   }
 
   /** Takes a sample of the tokens that are free somewhere while requests wait elsewhere. */
@@ -55,7 +55,11 @@
             subject, policy, "started of offered", "", (double) started / Math.max(1, offered)),
         new Measurement(subject, policy, "round trips a request", "", perRequest),
         new Measurement(
-            subject, policy, "gifts a request", "", (double) gifts / Math.max(1, offered)),
+            subject,
+            policy,
+            "surplusTransfers a request",
+            "",
+            (double) surplusTransfers / Math.max(1, offered)),
         new Measurement(subject, policy, "stranded tokens", "tokens", strandedMean),
         new Measurement(subject, policy, "wait p99", "ms", p99));
   }
