--- a/decision/src/main/java/org/flamingochute/decision/settings/SettingKey.java
+++ b/decision/src/main/java/org/flamingochute/decision/settings/SettingKey.java
@@ -20,6 +20,8 @@
 
   private static final Pattern WHOLE_NUMBER = Pattern.compile("-?[0-9]+");
 
+  private static final Pattern DECIMAL_NUMBER = Pattern.compile("-?[0-9]+(\\.[0-9]+)?");
+
   private final FieldDescriptor field;
   private final SettingRule rule;
 
@@ -44,6 +46,7 @@
   String typeName() {
     return switch (field.getJavaType()) {
       case INT, LONG -> "a whole number";
+      case FLOAT, DOUBLE -> "a number";
       case BOOLEAN -> "true or false";
       case ENUM -> "one of the names of " + field.getEnumType().getName();
       default -> "one line of text";
@@ -60,6 +63,7 @@
   Either<ErrorReport, Object> parse(String source, SectionName section, String text) {
     return switch (field.getJavaType()) {
       case INT, LONG -> parseNumber(source, section, text);
+      case DOUBLE -> parseDecimal(source, section, text);
       case BOOLEAN -> parseBoolean(source, section, text);
       case ENUM -> parseEnum(source, section, text);
       default -> parseText(source, section, text);
@@ -83,16 +87,7 @@
         number.compareTo(BigInteger.valueOf(minimum())) >= 0
             && number.compareTo(BigInteger.valueOf(maximum())) <= 0;
     if (!isInRange) {
-      return Either.left(
-          ErrorReport.of(
-              ErrorCode.SETTINGS_OUT_OF_RANGE,
-              source,
-              section,
-              name(),
-              text,
-              minimum(),
-              maximum(),
-              rule.getUnit()));
+      return Either.left(outOfRange(source, section, text));
     }
     if (field.getJavaType() == FieldDescriptor.JavaType.INT) {
       return Either.right(number.intValueExact());
@@ -100,6 +95,30 @@
     return Either.right(number.longValueExact());
   }
 
+  private Either<ErrorReport, Object> parseDecimal(
+      String source, SectionName section, String text) {
+    if (!DECIMAL_NUMBER.matcher(text).matches()) {
+      return wrongType(source, section, text);
+    }
+    double number = Double.parseDouble(text);
+    if (isLimited() && (number < rule.getMinimum() || number > rule.getMaximum())) {
+      return Either.left(outOfRange(source, section, text));
+    }
+    return Either.right(number);
+  }
+
+  private ErrorReport outOfRange(String source, SectionName section, String text) {
+    return ErrorReport.of(
+        ErrorCode.SETTINGS_OUT_OF_RANGE,
+        source,
+        section,
+        name(),
+        text,
+        minimum(),
+        maximum(),
+        rule.getUnit());
+  }
+
   /** Returns the smallest number that is allowed. */
   long minimum() {
     if (isLimited()) {
--- a/entry/src/main/java/org/flamingochute/entry/EntryMain.java
+++ b/entry/src/main/java/org/flamingochute/entry/EntryMain.java
@@ -3,8 +3,8 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import org.flamingochute.engine.DefaultEntryNode;
-import org.flamingochute.entry.log.KeyValueLogging;
-import org.flamingochute.entry.log.StayingLogManager;
+import org.flamingochute.logging.KeyValueLogging;
+import org.flamingochute.logging.StayingLogManager;
 
 /**
  * The entry's program.
--- a/entry/src/main/java/org/flamingochute/entry/log/KeyValueFormatter.java
+++ b/logging/src/main/java/org/flamingochute/logging/KeyValueFormatter.java
@@ -1,4 +1,4 @@
-package org.flamingochute.entry.log;
+package org.flamingochute.logging;
 
 import java.time.ZoneOffset;
 import java.time.format.DateTimeFormatter;
--- a/entry/src/main/java/org/flamingochute/entry/log/StayingLogManager.java
+++ b/logging/src/main/java/org/flamingochute/logging/StayingLogManager.java
@@ -1,4 +1,4 @@
-package org.flamingochute.entry.log;
+package org.flamingochute.logging;
 
 import java.util.logging.LogManager;
 
--- a/entry/src/main/java/org/flamingochute/entry/log/package-info.java
+++ b/logging/src/main/java/org/flamingochute/logging/package-info.java
@@ -1,2 +1,2 @@
 /** Log lines of one event each, as pairs of key and value. */
-package org.flamingochute.entry.log;
+package org.flamingochute.logging;
--- a/entry/src/test/java/org/flamingochute/entry/log/KeyValueFormatterTest.java
+++ b/logging/src/test/java/org/flamingochute/logging/KeyValueFormatterTest.java
@@ -1,4 +1,4 @@
-package org.flamingochute.entry.log;
+package org.flamingochute.logging;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
--- /dev/null
+++ b/node/src/main/java/org/flamingochute/node/office/SchedulerRunner.java
@@ -0,0 +1,410 @@
+package org.flamingochute.node.office;
+
+import com.google.common.flogger.FluentLogger;
+import io.activej.eventloop.Eventloop;
+import io.activej.reactor.schedule.ScheduledRunnable;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.flamingochute.decision.identity.JobId;
+import org.flamingochute.node.NodeClock;
+import org.flamingochute.node.store.ScheduleKeys;
+import org.flamingochute.node.store.ScheduleWriter;
+import org.flamingochute.platform.wire.KeyedValue;
+import org.flamingochute.platform.wire.MachineClient;
+import org.flamingochute.platform.wire.MachineList;
+import org.flamingochute.platform.wire.StoreAppend;
+import org.flamingochute.platform.wire.StoreClient;
+import org.flamingochute.platform.wire.StoreTopic;
+import org.flamingochute.platform.wire.WaveCodec;
+import org.flamingochute.platform.wire.WorkerClient;
+import org.flamingochute.schema.scheduling.JobProgress;
+import org.flamingochute.schema.scheduling.SchedulerTenure;
+import org.flamingochute.schema.scheduling.WaveProgress;
+import org.flamingochute.scheduling.core.MachineOutcome;
+import org.flamingochute.scheduling.core.Scheduler;
+import org.flamingochute.scheduling.core.SchedulerBatch;
+import org.flamingochute.scheduling.core.SchedulerCommand;
+import org.flamingochute.scheduling.core.SchedulerSettings;
+import org.flamingochute.scheduling.core.StartOutcome;
+import org.flamingochute.scheduling.fleet.Machine;
+import org.flamingochute.scheduling.job.JobTable;
+import org.flamingochute.scheduling.worker.WorkerKey;
+import org.flamingochute.scheduling.worker.WorkerReport;
+
+/**
+ * Carries out one tenure of the office: lets the scheduler decide after each change, records what it
+ * decided, and sends its orders. Runs on one event loop.
+ */
+final class SchedulerRunner implements OfficeContext {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Changes within this time are decided on together. */
+  private static final long GATHER_MILLISECONDS = 2;
+
+  /** Longest time between decisions, for what falls due without a change. */
+  private static final long TICK_MILLISECONDS = 50;
+
+  /** Time without an append after which the tenure is renewed. */
+  private static final long RENEWAL_MILLISECONDS = 300;
+
+  private static final long MACHINE_LIST_MILLISECONDS = 250;
+  private static final long MACHINE_TIMEOUT_MILLISECONDS = 2_000;
+  private static final long REPORT_TIMEOUT_MILLISECONDS = 1_500;
+  private static final long REPORT_RETRY_MILLISECONDS = 300;
+
+  private final Eventloop loop;
+  private final NodeClock clock;
+  private final StoreClient store;
+  private final WorkerClient workerClient;
+  private final Optional<MachineClient> machineClient;
+  private final JobTable jobs;
+  private final SchedulerSettings settings;
+  private final Scheduler scheduler;
+  private final ScheduleWriter writer;
+  private final SchedulerTenure tenure;
+  private final Runnable whenOver;
+  private final Map<WorkerKey, WorkerSession> sessions = new HashMap<>();
+  private boolean decisionPending;
+  private boolean stopped;
+  private boolean releasing;
+  private long renewal;
+  private long lastAppendAt;
+  private long machinesAskedAt = Long.MIN_VALUE / 2;
+  private boolean machinesAsked;
+  private Optional<ScheduledRunnable> tick = Optional.empty();
+
+  SchedulerRunner(OfficeParts parts, SchedulerTenure tenure, Scheduler scheduler, Runnable over) {
+    this.loop = parts.loop();
+    this.clock = parts.clock();
+    this.store = parts.store();
+    this.workerClient = parts.workerClient();
+    this.machineClient = parts.machineClient();
+    this.jobs = parts.jobs();
+    this.settings = parts.settings();
+    this.tenure = tenure;
+    this.scheduler = scheduler;
+    this.whenOver = over;
+    this.renewal = tenure.getRenewal();
+    this.lastAppendAt = clock.steady();
+    this.writer =
+        new ScheduleWriter(loop, clock, store, tenure.getEpoch(), () -> fenced("store"));
+  }
+
+  Scheduler scheduler() {
+    return scheduler;
+  }
+
+  void start() {
+    tick();
+  }
+
+  private void tick() {
+    if (stopped) {
+      return;
+    }
+    decide();
+    tick = Optional.of(loop.delay(TICK_MILLISECONDS, this::tick));
+  }
+
+  @Override
+  public long epoch() {
+    return tenure.getEpoch();
+  }
+
+  @Override
+  public long leaseMilliseconds() {
+    return settings.leaseMilliseconds();
+  }
+
+  @Override
+  public boolean mayHold() {
+    return !stopped && writer.silenceMilliseconds() < settings.holdWithoutStoreMilliseconds();
+  }
+
+  @Override
+  public void changed() {
+    if (stopped || decisionPending) {
+      return;
+    }
+    decisionPending = true;
+    loop.delay(
+        GATHER_MILLISECONDS,
+        () -> {
+          decisionPending = false;
+          decide();
+        });
+  }
+
+  @Override
+  public void fenced(String by) {
+    if (stopped) {
+      return;
+    }
+    logger.atInfo().log("event=office_lost epoch=%d by=\"%s\"", epoch(), by);
+    end();
+    whenOver.run();
+  }
+
+  private void end() {
+    stopped = true;
+    writer.stop();
+    tick.ifPresent(ScheduledRunnable::cancel);
+    sessions.values().forEach(WorkerSession::stop);
+    sessions.clear();
+  }
+
+  /** Gives the office back, so that a successor need not wait, and ends. */
+  void release() {
+    releasing = true;
+    if (!writer.isBusy()) {
+      appendRelease();
+    }
+  }
+
+  private void appendRelease() {
+    SchedulerTenure released = tenure.toBuilder().setRenewal(++renewal).setReleased(true).build();
+    writer.append(
+        List.of(new KeyedValue(ScheduleKeys.TENURE, released.toByteArray())),
+        () -> {
+          logger.atInfo().log("event=office_released epoch=%d", epoch());
+          end();
+          whenOver.run();
+        });
+  }
+
+  private void decide() {
+    if (stopped || releasing) {
+      return;
+    }
+    scheduler.decide(clock.steady(), clock.timeOfDay());
+    updateSessions();
+    scheduler.takeImmediate().forEach(this::carryOut);
+    record();
+    askForMachines();
+  }
+
+  private void updateSessions() {
+    Set<WorkerKey> wanted = new HashSet<>();
+    for (WorkerReport report : scheduler.workersToHold()) {
+      wanted.add(report.key());
+      WorkerSession session = sessions.get(report.key());
+      if (session == null) {
+        session = new WorkerSession(loop, clock, workerClient, this, scheduler, report);
+        sessions.put(report.key(), session);
+        session.start();
+      } else {
+        session.update(report);
+      }
+    }
+    sessions
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean over = !wanted.contains(entry.getKey());
+              if (over) {
+                entry.getValue().stop();
+              }
+              return over;
+            });
+  }
+
+  private void record() {
+    if (writer.isBusy()) {
+      return;
+    }
+    SchedulerBatch batch = scheduler.takeBatch();
+    batch.immediate().forEach(this::carryOut);
+    long now = clock.steady();
+    boolean renewalDue = now - lastAppendAt >= RENEWAL_MILLISECONDS;
+    if (!batch.hasRecords() && !renewalDue) {
+      batch.afterRecording().forEach(this::carryOut);
+      return;
+    }
+    lastAppendAt = now;
+    writer.append(recordsOf(batch), () -> recorded(batch));
+  }
+
+  private List<KeyedValue> recordsOf(SchedulerBatch batch) {
+    List<KeyedValue> records = new ArrayList<>();
+    for (Map.Entry<JobId, JobProgress> entry : batch.records().entrySet()) {
+      records.add(
+          new KeyedValue(ScheduleKeys.progress(entry.getKey()), entry.getValue().toByteArray()));
+    }
+    for (JobId job : batch.forgotten()) {
+      records.add(KeyedValue.drop(ScheduleKeys.progress(job)));
+    }
+    for (Map.Entry<Long, WaveProgress> entry : batch.waves().entrySet()) {
+      records.add(
+          new KeyedValue(ScheduleKeys.wave(entry.getKey()), entry.getValue().toByteArray()));
+    }
+    if (records.isEmpty()) {
+      SchedulerTenure renewed = tenure.toBuilder().setRenewal(++renewal).build();
+      records.add(new KeyedValue(ScheduleKeys.TENURE, renewed.toByteArray()));
+    }
+    return records;
+  }
+
+  private void recorded(SchedulerBatch batch) {
+    batch.records().forEach(jobs::advance);
+    batch.forgotten().forEach(this::forget);
+    batch.afterRecording().forEach(this::carryOut);
+    if (releasing) {
+      appendRelease();
+    } else {
+      record();
+    }
+  }
+
+  /** Drops the intake's records of a job whose progress was dropped. */
+  private void forget(JobId job) {
+    jobs.drop(job);
+    List<KeyedValue> drops =
+        List.of(
+            KeyedValue.drop(ScheduleKeys.job(job)),
+            KeyedValue.drop(ScheduleKeys.cancellation(job)));
+    store.append(
+        StoreTopic.INTAKE,
+        drops,
+        Optional.empty(),
+        OptionalLong.empty(),
+        REPORT_TIMEOUT_MILLISECONDS);
+  }
+
+  private void carryOut(SchedulerCommand command) {
+    switch (command) {
+      case SchedulerCommand.StartTask start -> startTask(start);
+      case SchedulerCommand.StopTask stop -> session(stop.worker()).ifPresent(s -> s.stopTask(stop));
+      case SchedulerCommand.PaceTask pace -> session(pace.worker()).ifPresent(s -> s.paceTask(pace));
+      case SchedulerCommand.AcknowledgeEnds ends ->
+          session(ends.worker()).ifPresent(s -> s.acknowledge(ends.number()));
+      case SchedulerCommand.MoveMachine move -> moveMachine(move);
+      case SchedulerCommand.MaintainMachine upkeep -> maintainMachine(upkeep);
+      case SchedulerCommand.ReportWave report -> reportWave(report);
+    }
+  }
+
+  private Optional<WorkerSession> session(WorkerKey worker) {
+    return Optional.ofNullable(sessions.get(worker));
+  }
+
+  private void startTask(SchedulerCommand.StartTask start) {
+    if (!scheduler.beginStart(start)) {
+      return;
+    }
+    Optional<WorkerSession> session = session(start.worker());
+    if (session.isEmpty()) {
+      scheduler.startAnswered(
+          start,
+          StartOutcome.NOT_RUN,
+          clock.steady(),
+          clock.timeOfDay());
+      return;
+    }
+    session.get().startTask(start);
+  }
+
+  private void moveMachine(SchedulerCommand.MoveMachine move) {
+    if (machineClient.isEmpty()) {
+      return;
+    }
+    machineClient
+        .get()
+        .move(move, tenure.getInstance(), epoch(), MACHINE_TIMEOUT_MILLISECONDS)
+        .thenAccept(
+            outcome -> {
+              if (isFenced(outcome)) {
+                return;
+              }
+              scheduler.moveAnswered(move, outcome, clock.steady());
+              changed();
+            });
+  }
+
+  private void maintainMachine(SchedulerCommand.MaintainMachine upkeep) {
+    if (machineClient.isEmpty()) {
+      return;
+    }
+    machineClient
+        .get()
+        .maintain(upkeep, tenure.getInstance(), epoch(), MACHINE_TIMEOUT_MILLISECONDS)
+        .thenAccept(
+            outcome -> {
+              if (isFenced(outcome)) {
+                return;
+              }
+              scheduler.upkeepAnswered(upkeep, outcome, clock.steady());
+              changed();
+            });
+  }
+
+  private boolean isFenced(MachineOutcome outcome) {
+    if (outcome == MachineOutcome.FENCED) {
+      fenced("machines");
+    }
+    return stopped;
+  }
+
+  private void reportWave(SchedulerCommand.ReportWave report) {
+    KeyedValue record =
+        new KeyedValue(
+            ScheduleKeys.wave(report.wave()),
+            WaveCodec.writeReport(report.wave(), report.completed()));
+    store
+        .append(
+            StoreTopic.REPORTS,
+            List.of(record),
+            Optional.empty(),
+            OptionalLong.empty(),
+            REPORT_TIMEOUT_MILLISECONDS)
+        .thenAccept(
+            result -> {
+              boolean stored =
+                  result instanceof StoreAppend.Appended;
+              if (!stored && !stopped) {
+                loop.delay(REPORT_RETRY_MILLISECONDS, () -> reportWave(report));
+              }
+            });
+  }
+
+  private void askForMachines() {
+    long now = clock.steady();
+    boolean due = now - machinesAskedAt >= MACHINE_LIST_MILLISECONDS;
+    if (machineClient.isEmpty() || machinesAsked || !due || !scheduler.needsMachines()) {
+      return;
+    }
+    machinesAsked = true;
+    machinesAskedAt = now;
+    askForPage("", new ArrayList<>(), now);
+  }
+
+  private void askForPage(String page, List<Machine> found, long askedAt) {
+    machineClient
+        .orElseThrow()
+        .list(page, MACHINE_TIMEOUT_MILLISECONDS)
+        .thenAccept(
+            list -> {
+              switch (list) {
+                case MachineList.Failed failed -> {
+                  machinesAsked = false;
+                  logger.atInfo().log("event=machines_not_listed detail=\"%s\"", failed.detail());
+                }
+                case MachineList.Page arrived -> {
+                  found.addAll(arrived.machines());
+                  if (!arrived.next().isEmpty()) {
+                    askForPage(arrived.next(), found, askedAt);
+                    return;
+                  }
+                  machinesAsked = false;
+                  scheduler.machinesListed(found, askedAt);
+                  changed();
+                }
+              }
+            });
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/flamingochute/node/package-info.java
@@ -0,0 +1,2 @@
+/** The program that runs on each entry instance of the users' platform. */
+package org.flamingochute.node;
--- /dev/null
+++ b/node/src/main/java/org/flamingochute/node/program/ArchiveTraining.java
@@ -0,0 +1,56 @@
+package org.flamingochute.node.program;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.flamingochute.platform.wire.DeclarationCodec;
+import org.flamingochute.platform.wire.SubmissionCodec;
+import org.flamingochute.platform.wire.WireException;
+
+/**
+ * A short run that loads the classes of a node, for the archive of classes that speeds up its start.
+ * It listens on ports that the system chooses and calls a port where nobody listens.
+ */
+public final class ArchiveTraining {
+  private static final long RUN_MILLISECONDS = 1_500;
+  private static final String SETTINGS =
+      """
+      [instance]
+      name = training
+      data_centre = training
+      front_address = 127.0.0.1:0
+      ready_address = 127.0.0.1:0
+      metrics_address = 127.0.0.1:0
+      [store]
+      address = 127.0.0.1:1
+      [fleet_services]
+      machines_address = 127.0.0.1:1
+      """;
+
+  private ArchiveTraining() {}
+
+  /** Runs and exits. */
+  public static void main(String[] arguments)
+      throws IOException, InterruptedException, WireException {
+    Path file = Files.createTempFile("settings", ".ini");
+    Files.writeString(file, SETTINGS);
+    DeclarationCodec.read("{\"version\":1}".getBytes(StandardCharsets.UTF_8));
+    SubmissionCodec.read(
+        "{\"spec\":\"a\",\"job_steps\":[{\"count\":1}]}"
+            .getBytes(StandardCharsets.UTF_8));
+    Thread ending =
+        new Thread(
+            () -> {
+              try {
+                TimeUnit.MILLISECONDS.sleep(RUN_MILLISECONDS);
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+              System.exit(0);
+            });
+    ending.start();
+    NodeMain.main(new String[] {"--settings", file.toString()});
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/flamingochute/node/program/package-info.java
@@ -0,0 +1,2 @@
+/** Command line, settings, start and stop of the process. */
+package org.flamingochute.node.program;
--- /dev/null
+++ b/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
@@ -0,0 +1,72 @@
+package org.flamingochute.node.store;
+
+import java.util.Optional;
+import org.flamingochute.decision.identity.JobId;
+
+/** Keys of the records in the system's own topics, and of the declarations and reports. */
+public final class ScheduleKeys {
+  /** Key of the scheduler's tenure. */
+  public static final String TENURE = "tenure";
+
+  /** Key of the operators' declaration. */
+  public static final String DECLARATION = "config";
+
+  private static final String JOB = "job/";
+  private static final String CANCELLATION = "cancellation/";
+  private static final String PROGRESS = "progress/";
+  private static final String WAVE = "wave/";
+
+  private ScheduleKeys() {}
+
+  /** Returns the key of a job as it was handed in. */
+  public static String job(JobId id) {
+    return JOB + id;
+  }
+
+  /** Returns the key of a job's withdrawal. */
+  public static String cancellation(JobId id) {
+    return CANCELLATION + id;
+  }
+
+  /** Returns the key of a job's progress. */
+  public static String progress(JobId id) {
+    return PROGRESS + id;
+  }
+
+  /** Returns the key of a wave. */
+  public static String wave(long number) {
+    return WAVE + number;
+  }
+
+  /** Returns the job whose definition stands under a key. */
+  public static Optional<JobId> jobOf(String key) {
+    return idAfter(JOB, key);
+  }
+
+  /** Returns the job whose withdrawal stands under a key. */
+  public static Optional<JobId> cancelledJobOf(String key) {
+    return idAfter(CANCELLATION, key);
+  }
+
+  /** Returns the job whose progress stands under a key. */
+  public static Optional<JobId> progressedJobOf(String key) {
+    return idAfter(PROGRESS, key);
+  }
+
+  private static Optional<JobId> idAfter(String prefix, String key) {
+    boolean fits = key.startsWith(prefix) && key.length() > prefix.length();
+    return fits ? Optional.of(new JobId(key.substring(prefix.length()))) : Optional.empty();
+  }
+
+  /** Returns the number of the wave under a key. */
+  public static Optional<Long> waveOf(String key) {
+    if (!key.startsWith(WAVE)) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(Long.parseLong(key.substring(WAVE.length())));
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/flamingochute/node/store/StoreFollower.java
@@ -0,0 +1,220 @@
+package org.flamingochute.node.store;
+
+import com.google.common.flogger.FluentLogger;
+import io.activej.eventloop.Eventloop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.flamingochute.node.Moment;
+import org.flamingochute.node.NodeClock;
+import org.flamingochute.platform.wire.StoreClient;
+import org.flamingochute.platform.wire.StorePage;
+import org.flamingochute.platform.wire.StoreRead;
+import org.flamingochute.platform.wire.StoreRecord;
+import org.flamingochute.platform.wire.StoreTopic;
+
+/**
+ * Follows one topic of the store.
+ *
+ * <p>It first reads the newest record of every key, page by page, and then everything from the
+ * smallest end that a page told. Pages are no snapshot, but what a later page misses was appended
+ * after the first page's end and is read afterwards, so nothing is lost. When the store no longer
+ * keeps the next record, the topic is read anew. Runs on one event loop.
+ */
+public final class StoreFollower {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private static final long PAGE_TIMEOUT_MILLISECONDS = 2_000;
+  private static final long READ_SLACK_MILLISECONDS = 1_200;
+  private static final long FIRST_RETRY_MILLISECONDS = 30;
+  private static final long LONGEST_RETRY_MILLISECONDS = 400;
+
+  private final Eventloop loop;
+  private final NodeClock clock;
+  private final StoreClient store;
+  private final StoreTopic topic;
+  private final long waitMilliseconds;
+  private final TopicListener listener;
+  private long pauseMilliseconds;
+  private boolean stopped;
+  private boolean loaded;
+  private boolean lost;
+  private long retryMilliseconds = FIRST_RETRY_MILLISECONDS;
+  private long next;
+  private Optional<Moment> confirmedAt = Optional.empty();
+  private Optional<Moment> answeredAt = Optional.empty();
+
+  /**
+   * Creates a follower.
+   *
+   * @param waitMilliseconds how long the store waits for a record before it answers
+   * @param pauseMilliseconds pause between reads, so that records arrive in groups
+   */
+  public StoreFollower(
+      Eventloop loop,
+      NodeClock clock,
+      StoreClient store,
+      StoreTopic topic,
+      long waitMilliseconds,
+      long pauseMilliseconds,
+      TopicListener listener) {
+    this.loop = loop;
+    this.clock = clock;
+    this.store = store;
+    this.topic = topic;
+    this.waitMilliseconds = waitMilliseconds;
+    this.pauseMilliseconds = pauseMilliseconds;
+    this.listener = listener;
+  }
+
+  /** Begins to read. */
+  public void start() {
+    load("", new ArrayList<>(), Long.MAX_VALUE);
+  }
+
+  /** Ends reading. */
+  public void stop() {
+    stopped = true;
+  }
+
+  /** Changes the pause between reads. */
+  public void setPause(long milliseconds) {
+    pauseMilliseconds = milliseconds;
+  }
+
+  /** Tells whether the newest records of all keys were delivered. */
+  public boolean isLoaded() {
+    return loaded;
+  }
+
+  /** Returns the offset that is read next. */
+  public long next() {
+    return next;
+  }
+
+  /** Returns the latest moment as of which everything was delivered. */
+  public Optional<Moment> confirmedAt() {
+    return confirmedAt;
+  }
+
+  /** Returns how old the newest complete knowledge of the topic is, in milliseconds. */
+  public long ageMilliseconds() {
+    return confirmedAt.map(moment -> moment.elapsedUntil(clock.now())).orElse(Long.MAX_VALUE);
+  }
+
+  /** Returns the time since the store last answered, in milliseconds. */
+  public long silenceMilliseconds() {
+    return answeredAt.map(moment -> moment.elapsedUntil(clock.now())).orElse(Long.MAX_VALUE);
+  }
+
+  /** Reads the whole topic again. */
+  public void reload() {
+    logger.atInfo().log("event=topic_reload topic=%s next=%d", topic, next);
+    loaded = false;
+  }
+
+  private void load(String after, List<StoreRecord> found, long smallestEnd) {
+    if (stopped) {
+      return;
+    }
+    store
+        .newest(topic, after, PAGE_TIMEOUT_MILLISECONDS)
+        .thenAccept(page -> pageArrived(page, found, smallestEnd));
+  }
+
+  private void pageArrived(StorePage page, List<StoreRecord> found, long smallestEnd) {
+    switch (page) {
+      case StorePage.Failed failed -> retry(failed.detail());
+      case StorePage.Page arrived -> {
+        regained();
+        found.addAll(arrived.records());
+        long end = Math.min(smallestEnd, arrived.end());
+        if (arrived.more() && !arrived.records().isEmpty()) {
+          load(arrived.records().getLast().key(), found, end);
+        } else {
+          loadCompleted(found, end);
+        }
+      }
+    }
+  }
+
+  private void loadCompleted(List<StoreRecord> found, long end) {
+    loaded = true;
+    next = end;
+    logger.atInfo().log("event=topic_loaded topic=%s records=%d next=%d", topic, found.size(), end);
+    listener.snapshot(found);
+    read();
+  }
+
+  private void read() {
+    if (stopped) {
+      return;
+    }
+    if (!loaded) {
+      start();
+      return;
+    }
+    Moment sentAt = clock.now();
+    store
+        .read(topic, next, waitMilliseconds, waitMilliseconds + READ_SLACK_MILLISECONDS)
+        .thenAccept(result -> readArrived(result, sentAt));
+  }
+
+  private void readArrived(StoreRead result, Moment sentAt) {
+    switch (result) {
+      case StoreRead.Failed failed -> retry(failed.detail());
+      case StoreRead.Trimmed trimmed -> {
+        regained();
+        logger.atInfo().log(
+            "event=topic_trimmed topic=%s next=%d first=%d", topic, next, trimmed.first());
+        loaded = false;
+        start();
+      }
+      case StoreRead.Records records -> {
+        regained();
+        deliver(records, sentAt);
+      }
+    }
+  }
+
+  private void deliver(StoreRead.Records records, Moment sentAt) {
+    if (records.unreadable() > 0) {
+      logger.atWarning().log(
+          "event=records_unreadable topic=%s from=%d count=%d",
+          topic, next, records.unreadable());
+    }
+    next = records.next();
+    for (StoreRecord record : records.records()) {
+      listener.record(record);
+    }
+    if (next >= records.end()) {
+      confirmedAt = Optional.of(sentAt);
+      listener.caughtUp();
+    }
+    if (pauseMilliseconds > 0 && !records.records().isEmpty()) {
+      loop.delay(pauseMilliseconds, this::read);
+    } else {
+      read();
+    }
+  }
+
+  private void regained() {
+    answeredAt = Optional.of(clock.now());
+    retryMilliseconds = FIRST_RETRY_MILLISECONDS;
+    if (lost) {
+      lost = false;
+      logger.atInfo().log("event=dependency_regained dependency=store topic=%s", topic);
+    }
+  }
+
+  private void retry(String detail) {
+    if (!lost) {
+      lost = true;
+      logger.atWarning().log(
+          "event=dependency_lost dependency=store topic=%s detail=\"%s\"", topic, detail);
+    }
+    long delay = retryMilliseconds;
+    retryMilliseconds = Math.min(LONGEST_RETRY_MILLISECONDS, 2 * retryMilliseconds);
+    loop.delay(delay, this::read);
+  }
+}
--- /dev/null
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TeamUsage.java
@@ -0,0 +1,43 @@
+package org.flamingochute.scheduling.core;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.flamingochute.decision.identity.TeamId;
+import org.flamingochute.decision.placement.ResourceVector;
+
+/** What each team has running over the whole fleet, against its cap. */
+final class TeamUsage {
+  private final Map<TeamId, ResourceVector> running = new HashMap<>();
+
+  void add(Task task) {
+    task.job.team.ifPresent(
+        team -> running.merge(team, Worker.demandOf(task.step), ResourceVector::plus));
+  }
+
+  void remove(Task task) {
+    task.job.team.ifPresent(
+        team ->
+            running.computeIfPresent(
+                team, (id, sum) -> sum.minus(Worker.demandOf(task.step))));
+  }
+
+  ResourceVector of(TeamId team) {
+    return running.getOrDefault(team, ResourceVector.ZERO);
+  }
+
+  /** Tells whether the team may have the demand running in addition. */
+  boolean allows(Optional<TeamId> team, ResourceVector cap, ResourceVector demand) {
+    if (team.isEmpty()) {
+      return true;
+    }
+    ResourceVector sum = of(team.get()).plus(demand);
+    return isWithin(sum.processorMillicores(), cap.processorMillicores())
+        && isWithin(sum.memoryMebibytes(), cap.memoryMebibytes())
+        && isWithin(sum.accelerators(), cap.accelerators());
+  }
+
+  private static boolean isWithin(long amount, long cap) {
+    return cap == 0 || amount <= cap;
+  }
+}
--- /dev/null
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/fleet/FleetDeclaration.java
@@ -0,0 +1,142 @@
+package org.flamingochute.scheduling.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.decision.identity.QueueId;
+import org.flamingochute.decision.identity.TeamId;
+
+/** One version of what operators declare: queues, pools, teams and limits of requests. */
+public final class FleetDeclaration {
+  private final long version;
+  private final int maximumBodyBytes;
+  private final Map<QueueId, Queue> queues = new HashMap<>();
+  private final Map<String, List<Queue>> queuesByHost = new HashMap<>();
+  private final Map<PoolId, Pool> pools = new HashMap<>();
+  private final Map<TeamId, Team> teams = new HashMap<>();
+  private final Map<String, TeamId> teamsByKey = new HashMap<>();
+
+  private FleetDeclaration(Builder builder) {
+    version = builder.version;
+    maximumBodyBytes = builder.maximumBodyBytes;
+    for (Queue queue : builder.queues) {
+      queues.put(queue.id(), queue);
+      queuesByHost.computeIfAbsent(queue.host(), host -> new ArrayList<>()).add(queue);
+    }
+    for (Pool pool : builder.pools) {
+      pools.put(pool.id(), pool);
+    }
+    for (Team team : builder.teams) {
+      teams.put(team.id(), team);
+      team.keys().forEach(key -> teamsByKey.put(key, team.id()));
+    }
+  }
+
+  /** Starts an empty declaration. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Returns the number of this version; later versions have higher numbers. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the largest body of a request in bytes. */
+  public int maximumBodyBytes() {
+    return maximumBodyBytes;
+  }
+
+  /** Returns the queue whose path prefix is the longest that the path begins with. */
+  public Optional<Queue> queueFor(String host, String path) {
+    Queue best = null;
+    for (Queue queue : queuesByHost.getOrDefault(host, List.of())) {
+      boolean longer = best == null || queue.pathPrefix().length() > best.pathPrefix().length();
+      if (longer && path.startsWith(queue.pathPrefix())) {
+        best = queue;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /** Returns a queue by its name. */
+  public Optional<Queue> queue(QueueId id) {
+    return Optional.ofNullable(queues.get(id));
+  }
+
+  /** Returns the team that a key belongs to. */
+  public Optional<TeamId> teamOfKey(String key) {
+    return Optional.ofNullable(teamsByKey.get(key));
+  }
+
+  /** Returns a team by its name. */
+  public Optional<Team> team(TeamId id) {
+    return Optional.ofNullable(teams.get(id));
+  }
+
+  /** Returns a pool by its name. */
+  public Optional<Pool> pool(PoolId id) {
+    return Optional.ofNullable(pools.get(id));
+  }
+
+  /** Returns all pools. */
+  public Iterable<Pool> pools() {
+    return pools.values();
+  }
+
+  /** Returns all teams. */
+  public Iterable<Team> teams() {
+    return teams.values();
+  }
+
+  /** Builds a declaration. */
+  public static final class Builder {
+    private static final int DEFAULT_BODY_BYTES = 262_144;
+
+    private long version;
+    private int maximumBodyBytes = DEFAULT_BODY_BYTES;
+    private final List<Queue> queues = new ArrayList<>();
+    private final List<Pool> pools = new ArrayList<>();
+    private final List<Team> teams = new ArrayList<>();
+
+    private Builder() {}
+
+    /** Sets the number of the version. */
+    public Builder version(long value) {
+      version = value;
+      return this;
+    }
+
+    /** Sets the largest body of a request in bytes. */
+    public Builder maximumBodyBytes(int value) {
+      maximumBodyBytes = value;
+      return this;
+    }
+
+    /** Adds a queue. */
+    public Builder queue(Queue queue) {
+      queues.add(queue);
+      return this;
+    }
+
+    /** Adds a pool. */
+    public Builder pool(Pool pool) {
+      pools.add(pool);
+      return this;
+    }
+
+    /** Adds a team. */
+    public Builder team(Team team) {
+      teams.add(team);
+      return this;
+    }
+
+    /** Returns the declaration. */
+    public FleetDeclaration build() {
+      return new FleetDeclaration(this);
+    }
+  }
+}
--- /dev/null
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/fleet/WaveOrder.java
@@ -0,0 +1,21 @@
+package org.flamingochute.scheduling.fleet;
+
+import java.util.List;
+import org.flamingochute.decision.identity.MachineId;
+
+/**
+ * An operator's order to maintain machines.
+ *
+ * @param number number of the wave
+ * @param machines machines to maintain
+ * @param durationMilliseconds time in which the wave should end
+ * @param maximumDown most machines of the wave that may be down at once
+ */
+public record WaveOrder(
+    long number, List<MachineId> machines, long durationMilliseconds, int maximumDown) {
+
+  /** Copies the list. */
+  public WaveOrder {
+    machines = List.copyOf(machines);
+  }
+}
--- /dev/null
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/job/package-info.java
@@ -0,0 +1,2 @@
+/** Jobs, as every entry knows them from the store. */
+package org.flamingochute.scheduling.job;
--- /dev/null
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/leadership/TenureWatch.java
@@ -0,0 +1,73 @@
+package org.flamingochute.scheduling.leadership;
+
+import org.flamingochute.schema.scheduling.SchedulerTenure;
+
+/**
+ * Judges from the records of the store whether the office of the scheduler may be claimed.
+ *
+ * <p>The holder renews its tenure more often than the timeout. A candidate counts the time since
+ * the last renewal that it read, and only while its reads of the store succeed, so that a candidate
+ * that is cut off from the store never regards the holder as silent. A wrong judgement does no
+ * harm: a claim is an append on the condition that nothing was appended since the candidate's last
+ * read, so a renewal that the candidate has not read makes its claim fail.
+ */
+public final class TenureWatch {
+  /** Time without a renewal after which the holder is regarded as lost. */
+  public static final long TAKEOVER_MILLISECONDS = 1_200;
+
+  /** Longest age of the last successful read at which the holder's silence counts. */
+  private static final long READ_AGE_MILLISECONDS = 1_200;
+
+  private final long claimDelayMilliseconds;
+  private SchedulerTenure newest = SchedulerTenure.getDefaultInstance();
+  private long renewedAt;
+  private long readAt = Long.MIN_VALUE / 2;
+  private long readsBegan;
+
+  /**
+   * Creates a watch.
+   *
+   * @param claimDelayMilliseconds delay of this candidate's claims, different for each candidate so
+   *     that one of them usually comes first
+   */
+  public TenureWatch(long claimDelayMilliseconds) {
+    this.claimDelayMilliseconds = claimDelayMilliseconds;
+  }
+
+  /** Takes a record of the tenure; older ones than the newest are ignored. */
+  public void observe(SchedulerTenure tenure, long now) {
+    if (tenure.getEpoch() < newest.getEpoch()) {
+      return;
+    }
+    newest = tenure;
+    renewedAt = now;
+  }
+
+  /** Notes a record that only the holder of the office can have written. */
+  public void holderWrote(long now) {
+    renewedAt = now;
+  }
+
+  /** Notes that the store answered a read which was sent after everything before was applied. */
+  public void readSucceeded(long now) {
+    if (now - readAt > READ_AGE_MILLISECONDS) {
+      readsBegan = now;
+    }
+    readAt = now;
+  }
+
+  /** Returns the newest tenure; epoch 0 when there was none. */
+  public SchedulerTenure newest() {
+    return newest;
+  }
+
+  /** Tells whether the office may be claimed now. */
+  public boolean mayClaim(long now) {
+    if (now - readAt > READ_AGE_MILLISECONDS) {
+      return false;
+    }
+    boolean vacant = newest.getEpoch() == 0 || newest.getReleased();
+    long patience = vacant ? claimDelayMilliseconds : TAKEOVER_MILLISECONDS + claimDelayMilliseconds;
+    return now - Math.max(renewedAt, readsBegan) >= patience;
+  }
+}
--- /dev/null
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/worker/WorkerReport.java
@@ -0,0 +1,40 @@
+package org.flamingochute.scheduling.worker;
+
+import java.util.List;
+import java.util.Optional;
+import org.flamingochute.decision.identity.DataCentreId;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.decision.placement.ResourceVector;
+
+/**
+ * What a worker writes about itself to the platform's store.
+ *
+ * @param key the worker's incarnation
+ * @param pool pool that it belongs to
+ * @param address IP address and port
+ * @param dataCentre where it is
+ * @param capacity what it has room for
+ * @param labels its kind and its rack, in this order
+ * @param draining true when it is going to leave
+ */
+public record WorkerReport(
+    WorkerKey key,
+    PoolId pool,
+    String address,
+    DataCentreId dataCentre,
+    ResourceVector capacity,
+    List<String> labels,
+    boolean draining) {
+
+  private static final int RACK_LABEL = 1;
+
+  /** Copies the list. */
+  public WorkerReport {
+    labels = List.copyOf(labels);
+  }
+
+  /** Returns the rack, or nothing when the worker does not tell. */
+  public Optional<String> rack() {
+    return labels.size() > RACK_LABEL ? Optional.of(labels.get(RACK_LABEL)) : Optional.empty();
+  }
+}
