--- a/node/src/main/java/org/flamingochute/node/office/Office.java
+++ b/node/src/main/java/org/flamingochute/node/office/Office.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.node.FleetState;
@@ -26,6 +27,7 @@
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.WaveOrder;
 import org.flamingochute.scheduling.job.JobEntry;
+import org.flamingochute.scheduling.leadership.TenureEpoch;
 import org.flamingochute.scheduling.leadership.TenureWatch;
 import org.flamingochute.scheduling.worker.WorkerReport;
 
@@ -51,6 +53,7 @@
   private final Map<Long, WaveProgress> waveProgress = new HashMap<>();
   private Optional<StoreFollower> follower = Optional.empty();
   private Optional<SchedulerRunner> runner = Optional.empty();
+  private Consumer<Boolean> whenHolding = holding -> {};
   private boolean claiming;
   private boolean leaving;
   private boolean ready;
@@ -67,8 +70,14 @@
     this.watch = new TenureWatch(parts.claimDelayMilliseconds());
   }
 
-  /** Begins to watch; the follower reads the topic of the schedule. */
-  public void start(StoreFollower schedule) {
+  /**
+   * Begins to watch.
+   *
+   * @param schedule reads the topic of the schedule
+   * @param holding learns whether this entry holds the office
+   */
+  public void start(StoreFollower schedule, Consumer<Boolean> holding) {
+    whenHolding = holding;
     follower = Optional.of(schedule);
     check();
   }
@@ -114,7 +123,7 @@
     claiming = true;
     SchedulerTenure tenure =
         SchedulerTenure.newBuilder()
-            .setEpoch(watch.newest().getEpoch() + 1)
+            .setEpoch(TenureEpoch.next(watch.newest().getEpoch(), holderName().hashCode()))
             .setInstance(holderName())
             .setRenewal(1)
             .build();
@@ -169,14 +178,20 @@
     state.waves().forEach(order -> scheduler.waveOrdered(order, progressOf(order)));
     watch.observe(tenure, now);
     SchedulerRunner started =
-        new SchedulerRunner(parts, tenure, scheduler, () -> runner = Optional.empty());
+        new SchedulerRunner(parts, tenure, scheduler, this::officeOver);
     runner = Optional.of(started);
     logger.atInfo().log(
         "event=office_taken epoch=%d jobs=%d", tenure.getEpoch(), state.jobs().entries().size());
-    follower.orElseThrow().setPause(0);
+    whenHolding.accept(true);
     started.start();
   }
 
+  private void officeOver() {
+    runner = Optional.empty();
+    whenHolding.accept(false);
+    follower.orElseThrow().reload();
+  }
+
   private WaveProgress progressOf(WaveOrder order) {
     return waveProgress.getOrDefault(order.number(), WaveProgress.getDefaultInstance());
   }
@@ -224,7 +239,12 @@
   }
 
   private void loseIfSucceeded(SchedulerTenure tenure) {
-    if (runner.isPresent() && tenure.getEpoch() > runner.get().epoch()) {
+    if (runner.isEmpty()) {
+      return;
+    }
+    boolean other =
+        tenure.getEpoch() == runner.get().epoch() && !tenure.getInstance().equals(holderName());
+    if (other || tenure.getEpoch() > runner.get().epoch()) {
       runner.get().fenced("tenure of " + tenure.getInstance());
     }
   }
--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -45,8 +45,14 @@
   /** Shorter than the others, since the silence of the scheduler is measured between answers. */
   private static final long SCHEDULE_WAIT_MILLISECONDS = 350;
 
-  /** Groups records of followers, which need not see each one at once. */
-  private static final long FOLLOWER_PAUSE_MILLISECONDS = 30;
+  /** Groups the records of jobs at entries that do not schedule; callers see them this much later. */
+  private static final long JOB_PAUSE_MILLISECONDS = 100;
+
+  /** Groups the reports of workers, which only a new scheduler needs. */
+  private static final long WORKER_PAUSE_MILLISECONDS = 1_000;
+
+  /** Groups the reports of workers at the scheduler. */
+  private static final long SCHEDULER_WORKER_PAUSE_MILLISECONDS = 50;
 
   /** Knowledge of jobs up to this age decides that a job does not exist. */
   private static final long JOB_KNOWLEDGE_MILLISECONDS = 2_500;
@@ -125,7 +131,7 @@
             store,
             StoreTopic.WORKERS,
             WORKER_WAIT_MILLISECONDS,
-            FOLLOWER_PAUSE_MILLISECONDS,
+            WORKER_PAUSE_MILLISECONDS,
             state.workerListener());
     intake =
         new StoreFollower(
@@ -134,7 +140,7 @@
             store,
             StoreTopic.INTAKE,
             INTAKE_WAIT_MILLISECONDS,
-            FOLLOWER_PAUSE_MILLISECONDS,
+            JOB_PAUSE_MILLISECONDS,
             state.intakeListener());
     schedule =
         new StoreFollower(
@@ -143,7 +149,7 @@
             store,
             StoreTopic.SCHEDULE,
             SCHEDULE_WAIT_MILLISECONDS,
-            FOLLOWER_PAUSE_MILLISECONDS,
+            JOB_PAUSE_MILLISECONDS,
             office);
     front =
         new Front(
@@ -242,11 +248,18 @@
     workers.start();
     intake.start();
     schedule.start();
-    office.start(schedule);
+    office.start(schedule, this::pauseFollowers);
     checkStart();
     watchPauses(clock.now());
   }
 
+  /** The scheduler wants jobs and workers at once, and has no need of its own records. */
+  private void pauseFollowers(boolean scheduling) {
+    intake.setPause(scheduling ? 0 : JOB_PAUSE_MILLISECONDS);
+    workers.setPause(scheduling ? SCHEDULER_WORKER_PAUSE_MILLISECONDS : WORKER_PAUSE_MILLISECONDS);
+    schedule.setPause(scheduling ? WORKER_PAUSE_MILLISECONDS : JOB_PAUSE_MILLISECONDS);
+  }
+
   private void checkStart() {
     boolean read =
         declarations.isLoaded()
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -311,7 +311,7 @@
     for (Task task : List.copyOf(worker.tasks.values())) {
       boolean mustBeListed =
           (task.order == Task.Order.RUNNING || task.order == Task.Order.STOPPING)
-              && sentAt >= task.orderedAt;
+              && sentAt > task.orderedAt;
       if (mustBeListed && !seen.contains(task.id)) {
         lifecycle.release(task, "not_on_worker");
       }
