--- a/node/src/main/java/org/flamingochute/node/office/SchedulerRunner.java
+++ b/node/src/main/java/org/flamingochute/node/office/SchedulerRunner.java
@@ -375,7 +375,7 @@
   private void askForMachines() {
     long now = clock.steady();
     boolean due = now - machinesAskedAt >= MACHINE_LIST_MILLISECONDS;
-    if (machineClient.isEmpty() || machinesAsked || !due || !scheduler.needsMachines()) {
+    if (machineClient.isEmpty() || machinesAsked || !due) {
       return;
     }
     machinesAsked = true;
--- /dev/null
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -0,0 +1,268 @@
+package org.flamingochute.scheduling.core;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.flamingochute.decision.identity.MachineId;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.decision.placement.ResourceVector;
+import org.flamingochute.scheduling.fleet.FleetDeclaration;
+import org.flamingochute.scheduling.fleet.Machine;
+import org.flamingochute.scheduling.fleet.Pool;
+
+/**
+ * Moves machines between pools as their load rises and falls by turns.
+ *
+ * <p>A pool whose load exceeds its machines gets the shortage at once: from the standby pool first,
+ * then from pools that have more than they need. A pool keeps at least the machines that it had at
+ * first. What a pool has above its need for a while goes to the standby pool, where it costs
+ * nothing. Only machines on which nothing runs move, so a move never ends a task.
+ */
+final class PoolPlanner {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Part of a machine that placement fills before tasks stop fitting. */
+  private static final double PACKING = 0.9;
+
+  /** Time for which a surplus must last before it leaves the pool. */
+  private static final long SURPLUS_MILLISECONDS = 1_200;
+
+  /** Time after which an order without effect is given up. */
+  private static final long ORDER_MILLISECONDS = 4_000;
+
+  private static final long REPORT_MILLISECONDS = 1_000;
+
+  private final WorkerBook workers;
+  private final MachineBook machines;
+  private final JobBook jobs;
+  private final WaveConductor waves;
+  private final Outbox outbox;
+  private final Map<MachineId, Move> moves = new LinkedHashMap<>();
+  private final Map<PoolId, Integer> homes = new HashMap<>();
+  private final Map<PoolId, Long> surplusSince = new HashMap<>();
+  private long reportedAt = Long.MIN_VALUE / 2;
+
+  private record Move(PoolId pool, long orderedAt) {}
+
+  PoolPlanner(
+      WorkerBook workers,
+      MachineBook machines,
+      JobBook jobs,
+      WaveConductor waves,
+      Outbox outbox) {
+    this.workers = workers;
+    this.machines = machines;
+    this.jobs = jobs;
+    this.waves = waves;
+    this.outbox = outbox;
+  }
+
+  /** Machines of one pool. */
+  private static final class Members {
+    private final Pool pool;
+    private final List<Machine> idle = new ArrayList<>();
+    private int count;
+    private int need;
+
+    private Members(Pool pool) {
+      this.pool = pool;
+    }
+  }
+
+  /** Orders the moves that the load asks for. */
+  void advance(FleetDeclaration declaration, long now, long timeOfDay) {
+    noteEffects(now);
+    if (machines.isEmpty()) {
+      return;
+    }
+    Map<PoolId, PoolLoad> loads = loads(timeOfDay);
+    Map<PoolId, Members> pools = members(declaration);
+    Optional<Members> standby =
+        pools.values().stream().filter(members -> members.pool.standby()).findFirst();
+    ResourceVector size = typicalCapacity();
+    for (Members members : pools.values()) {
+      if (!members.pool.standby()) {
+        homes.putIfAbsent(members.pool.id(), members.count);
+        PoolLoad load = loads.getOrDefault(members.pool.id(), new PoolLoad());
+        int asked = (int) Math.ceil(load.total().dominantPart(size) / PACKING);
+        members.need = Math.max(asked, homes.get(members.pool.id()));
+      }
+    }
+    for (Members members : pools.values()) {
+      if (!members.pool.standby()) {
+        fillShortage(members, pools, standby, now);
+      }
+    }
+    if (standby.isPresent()) {
+      returnSurplus(pools, standby.get(), now);
+    }
+    cordonMoving();
+    report(pools, loads, now);
+  }
+
+  private void noteEffects(long now) {
+    moves
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean listedLater = machines.listedAt() > entry.getValue().orderedAt();
+              boolean arrived =
+                  machines
+                      .find(entry.getKey())
+                      .map(machine -> machine.pool().equals(entry.getValue().pool()))
+                      .orElse(true);
+              boolean expired = now - entry.getValue().orderedAt() > ORDER_MILLISECONDS;
+              return listedLater && arrived || expired;
+            });
+  }
+
+  private Map<PoolId, PoolLoad> loads(long timeOfDay) {
+    Map<PoolId, PoolLoad> loads = new HashMap<>();
+    for (Job job : jobs.all()) {
+      if (job.isOpen()) {
+        loads.computeIfAbsent(job.pool, pool -> new PoolLoad()).add(job, timeOfDay);
+      }
+    }
+    return loads;
+  }
+
+  private Map<PoolId, Members> members(FleetDeclaration declaration) {
+    Map<PoolId, Members> pools = new TreeMap<>();
+    for (Pool pool : declaration.pools()) {
+      pools.put(pool.id(), new Members(pool));
+    }
+    for (Machine machine : machines.all()) {
+      Move move = moves.get(machine.id());
+      Members members = pools.get(move == null ? machine.pool() : move.pool());
+      if (members == null || machine.state() == Machine.State.DOWN) {
+        continue;
+      }
+      members.count++;
+      boolean movable =
+          move == null
+              && machine.state() == Machine.State.UP
+              && !waves.isHandling(machine.id())
+              && !waves.isPlanned(machine.id());
+      if (movable && isIdle(machine, members.pool)) {
+        members.idle.add(machine);
+      }
+    }
+    return pools;
+  }
+
+  private boolean isIdle(Machine machine, Pool pool) {
+    if (pool.standby()) {
+      return true;
+    }
+    Optional<Worker> worker = machine.worker().flatMap(workers::newest);
+    return worker.isPresent() && worker.get().isUsable() && worker.get().tasks.isEmpty();
+  }
+
+  /** Returns the capacity of most machines; pools of different machines do not exchange them. */
+  private ResourceVector typicalCapacity() {
+    Map<ResourceVector, Integer> counts = new HashMap<>();
+    ResourceVector typical = ResourceVector.ZERO;
+    int most = 0;
+    for (Machine machine : machines.all()) {
+      int count = counts.merge(machine.capacity(), 1, Integer::sum);
+      if (count > most) {
+        most = count;
+        typical = machine.capacity();
+      }
+    }
+    return typical;
+  }
+
+  private void fillShortage(
+      Members members, Map<PoolId, Members> pools, Optional<Members> standby, long now) {
+    int missing = members.need - members.count;
+    if (missing <= 0) {
+      return;
+    }
+    missing = take(standby.map(found -> found.idle).orElse(List.of()), missing, members, now);
+    for (Members donor : pools.values()) {
+      int spare = donor.count - donor.need;
+      if (donor != members && !donor.pool.standby() && spare > 0 && missing > 0) {
+        int wanted = Math.min(spare, missing);
+        int left = take(donor.idle, wanted, members, now);
+        donor.count -= wanted - left;
+        missing -= wanted - left;
+      }
+    }
+  }
+
+  /** Moves up to the wanted number of machines; returns how many are still wanted. */
+  private int take(List<Machine> idle, int wanted, Members target, long now) {
+    int left = wanted;
+    while (left > 0 && !idle.isEmpty()) {
+      order(idle.removeLast(), target.pool.id(), now);
+      target.count++;
+      left--;
+    }
+    return left;
+  }
+
+  private void order(Machine machine, PoolId pool, long now) {
+    moves.put(machine.id(), new Move(pool, now));
+    outbox.now(new SchedulerCommand.MoveMachine(machine.id(), pool));
+    logger.atInfo().log(
+        "event=machine_moving machine=%s from=%s to=%s", machine.id(), machine.pool(), pool);
+  }
+
+  private void returnSurplus(Map<PoolId, Members> pools, Members standby, long now) {
+    for (Members members : pools.values()) {
+      if (members.pool.standby() || members.count <= members.need) {
+        surplusSince.remove(members.pool.id());
+        continue;
+      }
+      long since = surplusSince.computeIfAbsent(members.pool.id(), pool -> now);
+      if (now - since >= SURPLUS_MILLISECONDS) {
+        take(members.idle, members.count - members.need, standby, now);
+      }
+    }
+  }
+
+  private void cordonMoving() {
+    for (MachineId machine : moves.keySet()) {
+      machines
+          .find(machine)
+          .flatMap(Machine::worker)
+          .flatMap(workers::newest)
+          .filter(worker -> !worker.report.pool().equals(moves.get(machine).pool()))
+          .ifPresent(worker -> worker.cordoned = true);
+    }
+  }
+
+  /** Takes the platform's answer to an order. */
+  void answered(MachineId machine, MachineOutcome outcome) {
+    if (outcome != MachineOutcome.DONE && outcome != MachineOutcome.UNKNOWN) {
+      moves.remove(machine);
+    }
+  }
+
+  private void report(Map<PoolId, Members> pools, Map<PoolId, PoolLoad> loads, long now) {
+    if (now - reportedAt < REPORT_MILLISECONDS) {
+      return;
+    }
+    reportedAt = now;
+    for (Members members : pools.values()) {
+      PoolLoad load = loads.getOrDefault(members.pool.id(), new PoolLoad());
+      logger.atInfo().log(
+          "event=pool_state pool=%s machines=%d idle=%d need=%d lasting_millicores=%d"
+              + " running_millicores=%d waiting_millicores=%d waiting_tasks=%d",
+          members.pool.id(),
+          members.count,
+          members.idle.size(),
+          members.need,
+          load.lasting().processorMillicores(),
+          load.running().processorMillicores(),
+          load.waiting().processorMillicores(),
+          load.waitingTasks());
+    }
+  }
+}
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -68,6 +68,7 @@
   private final TaskLifecycle lifecycle;
   private final Placement placement;
   private final WaveConductor waves;
+  private final PoolPlanner pools;
   private final Evacuation evacuation;
   private FleetDeclaration declaration;
 
@@ -86,6 +87,7 @@
     placement = new Placement(workers, jobs, usage, lifecycle, new WorkerChoice(health));
     evacuation = new Evacuation(lifecycle);
     waves = new WaveConductor(workers, machines, evacuation, outbox);
+    pools = new PoolPlanner(workers, machines, jobs, waves, outbox);
   }
 
   /** Puts a new declaration in force. */
@@ -444,6 +446,7 @@
     logger.atInfo().log(
         "event=move_answered machine=%s pool=%s outcome=%s",
         order.machine(), order.pool(), outcome);
+    pools.answered(order.machine(), outcome);
   }
 
   /** Takes a worker's answer to an order to pace a run. */
@@ -453,11 +456,6 @@
         order.task(), order.percent(), carriedOut);
   }
 
-  /** Tells whether the list of machines is needed. */
-  public boolean needsMachines() {
-    return waves.isActive();
-  }
-
   /** Makes every decision that is due. */
   public void decide(long now, long timeOfDay) {
     expire(now);
@@ -465,12 +463,21 @@
     addDueOccurrences(timeOfDay);
     dropForgotten(timeOfDay);
     leaveDrainingWorkers(now);
+    uncordon();
     if (now - beganAt >= settings.fenceMilliseconds()) {
       waves.advance(now);
+      pools.advance(declaration, now, timeOfDay);
     }
     placement.run(declaration, now, timeOfDay);
   }
 
+  /** Machines that are to go down or to move cordon their workers again. */
+  private void uncordon() {
+    for (Worker worker : workers.all()) {
+      worker.cordoned = false;
+    }
+  }
+
   private void expire(long now) {
     for (Worker worker : List.copyOf(workers.all())) {
       if (worker.leaseEndsAt > now) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveConductor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveConductor.java
@@ -85,11 +85,6 @@
     }
   }
 
-  /** Tells whether a wave is being carried out. */
-  boolean isActive() {
-    return waves.values().stream().anyMatch(wave -> !wave.completed);
-  }
-
   /** Tells whether a machine is being emptied or is down for a wave. */
   boolean isHandling(MachineId machine) {
     return waves.values().stream().anyMatch(wave -> wave.stages.containsKey(machine));
@@ -122,11 +117,18 @@
       }
     }
     emptyMore(wave, now);
+    cordon(wave);
     if (wave.maintained.size() >= wave.order.machines().size() && wave.stages.isEmpty()) {
       complete(wave);
     }
   }
 
+  private void cordon(Wave wave) {
+    for (MachineId machine : wave.stages.keySet()) {
+      workerOn(machine).ifPresent(worker -> worker.cordoned = true);
+    }
+  }
+
   private void noteReturned(Wave wave, long now) {
     for (MachineId machine : List.copyOf(wave.stages.keySet())) {
       boolean seenAfter = machines.listedAt() > wave.changedAt.get(machine);
