--- a/node/src/main/java/org/flamingochute/node/FleetState.java
+++ b/node/src/main/java/org/flamingochute/node/FleetState.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,6 +32,9 @@
 public final class FleetState {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Workers that are remembered after they were listed no more. */
+  private static final int REMEMBERED_WORKERS = 256;
+
   /** Learns of changes; the scheduler's office listens. */
   public interface Listener {
     /** A new declaration is in force. */
@@ -54,6 +58,16 @@
 
   private final JobTable jobs = new JobTable();
   private final Map<InstanceId, WorkerReport> workers = new HashMap<>();
+
+  /** Last reports of workers that are listed no more, the oldest first. */
+  private final Map<InstanceId, WorkerReport> unlisted =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<InstanceId, WorkerReport> eldest) {
+          return size() > REMEMBERED_WORKERS;
+        }
+      };
+
   private final Map<Long, WaveOrder> waves = new HashMap<>();
   private Optional<FleetDeclaration> declaration = Optional.empty();
   private Optional<Listener> listener = Optional.empty();
@@ -78,6 +92,11 @@
     return workers.values();
   }
 
+  /** Returns the last reports of workers that are listed no more. */
+  public Iterable<WorkerReport> unlistedWorkers() {
+    return unlisted.values();
+  }
+
   /** Returns the waves that operators ordered. */
   public Iterable<WaveOrder> waves() {
     return waves.values();
@@ -162,6 +181,7 @@
       }
       WorkerReport report = WorkerReportCodec.read(record.key(), record.value());
       WorkerReport previous = workers.put(report.key().id(), report);
+      unlisted.remove(report.key().id());
       if (!report.equals(previous)) {
         listener.ifPresent(l -> l.workerListed(report));
       }
@@ -171,7 +191,9 @@
   }
 
   private void unlist(InstanceId worker) {
-    if (workers.remove(worker) != null) {
+    WorkerReport last = workers.remove(worker);
+    if (last != null) {
+      unlisted.put(worker, last);
       listener.ifPresent(l -> l.workerUnlisted(worker));
     }
   }
--- a/node/src/main/java/org/flamingochute/node/office/Office.java
+++ b/node/src/main/java/org/flamingochute/node/office/Office.java
@@ -46,6 +46,9 @@
   private static final long CLAIM_TIMEOUT_MILLISECONDS = 800;
   private static final int CLAIM_TRIES = 4;
 
+  /** Time in which the records that made a claim fail are read. */
+  private static final long CLAIM_PAUSE_MILLISECONDS = 300;
+
   private final OfficeParts parts;
   private final FleetState state;
   private final TenureWatch watch;
@@ -54,6 +57,7 @@
   private Optional<StoreFollower> follower = Optional.empty();
   private Optional<SchedulerRunner> runner = Optional.empty();
   private Consumer<Boolean> whenHolding = holding -> {};
+  private long nextClaimAt;
   private boolean claiming;
   private boolean leaving;
   private boolean ready;
@@ -107,7 +111,8 @@
   }
 
   private boolean mayClaim() {
-    return watch.mayClaim(parts.clock().steady());
+    long now = parts.clock().steady();
+    return now >= nextClaimAt && watch.mayClaim(now);
   }
 
   /** A claim without an answer may have succeeded; then a new one need not wait. */
@@ -156,6 +161,7 @@
       return;
     }
     claiming = false;
+    nextClaimAt = parts.clock().steady() + CLAIM_PAUSE_MILLISECONDS;
     logger.atInfo().log(
         "event=office_claim_failed epoch=%d result=\"%s\"", tenure.getEpoch(), result);
   }
@@ -170,8 +176,10 @@
     }
     long now = parts.clock().steady();
     long timeOfDay = parts.clock().timeOfDay();
-    Scheduler scheduler = new Scheduler(parts.settings(), declaration.get(), now);
-    state.workers().forEach(report -> scheduler.workerListed(report, now));
+    boolean handedOver = watch.newest().getEpoch() == 0 || watch.newest().getReleased();
+    Scheduler scheduler = new Scheduler(parts.settings(), declaration.get(), handedOver, now);
+    state.workers().forEach(scheduler::workerListed);
+    state.unlistedWorkers().forEach(scheduler::workerRemembered);
     for (JobEntry entry : List.copyOf(state.jobs().entries())) {
       scheduler.jobStored(entry, now, timeOfDay);
     }
@@ -276,7 +284,7 @@
   public void workerListed(WorkerReport report) {
     runner.ifPresent(
         r -> {
-          r.scheduler().workerListed(report, parts.clock().steady());
+          r.scheduler().workerListed(report);
           r.changed();
         });
   }
--- a/node/src/main/java/org/flamingochute/node/office/WorkerSession.java
+++ b/node/src/main/java/org/flamingochute/node/office/WorkerSession.java
@@ -80,10 +80,15 @@
       return;
     }
     long sentAt = clock.steady();
-    long deadline = deadline(sentAt);
+    // A call that extends the lease of a worker that does not answer would keep its tasks from
+    // starting elsewhere, so such a worker is only asked.
+    boolean extending = workerClock.isKnown() && !scheduler.isUnreachable(worker.key());
+    long deadline = extending ? deadline(sentAt) : 0;
     boolean endsListed = listedEnds > acknowledged;
-    long wait = workerClock.isKnown() && !endsListed ? WAIT_MILLISECONDS : 0;
-    scheduler.leaseSent(worker.key(), sentAt);
+    long wait = extending && !endsListed ? WAIT_MILLISECONDS : 0;
+    if (extending) {
+      scheduler.leaseSent(worker.key(), sentAt);
+    }
     client
         .renew(
             worker,
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -59,6 +59,9 @@
 
   private final SchedulerSettings settings;
   private final long beganAt;
+
+  /** Time at which everything that a predecessor may have held certainly ended. */
+  private final long foreignLeasesEndAt;
   private final WorkerBook workers = new WorkerBook();
   private final JobBook jobs = new JobBook();
   private final MachineBook machines = new MachineBook();
@@ -77,12 +80,20 @@
    *
    * @param settings times that it keeps
    * @param declaration what operators declare
+   * @param handedOver true when the predecessor gave the office back, and so renews no lease
    * @param beganAt time at which it took office
    */
-  public Scheduler(SchedulerSettings settings, FleetDeclaration declaration, long beganAt) {
+  public Scheduler(
+      SchedulerSettings settings,
+      FleetDeclaration declaration,
+      boolean handedOver,
+      long beganAt) {
     this.settings = settings;
     this.declaration = declaration;
     this.beganAt = beganAt;
+    foreignLeasesEndAt =
+        beganAt
+            + (handedOver ? settings.lapseMilliseconds() : settings.foreignLeaseMilliseconds());
     lifecycle = new TaskLifecycle(jobs, usage, health, outbox, settings);
     placement = new Placement(workers, jobs, usage, lifecycle, new WorkerChoice(health));
     evacuation = new Evacuation(lifecycle);
@@ -162,7 +173,7 @@
     WorkerReport unlisted =
         new WorkerReport(
             key, pool, "", new DataCentreId("unknown"), ResourceVector.ZERO, List.of(), true);
-    Worker worker = new Worker(unlisted, beganAt + settings.foreignLeaseMilliseconds());
+    Worker worker = new Worker(unlisted, foreignLeasesEndAt);
     worker.listed = false;
     workers.add(worker);
     return worker;
@@ -173,8 +184,38 @@
     jobs.find(id).ifPresent(job -> lifecycle.cancel(job, now, timeOfDay));
   }
 
+  /** Takes the last report of a worker that is listed no more, but may still run tasks. */
+  public void workerRemembered(WorkerReport report) {
+    if (workers.newest(report.key().id()).isPresent() || isAddressTaken(report)) {
+      return;
+    }
+    Worker worker = new Worker(report, foreignLeasesEndAt);
+    worker.listed = false;
+    workers.add(worker);
+  }
+
+  private boolean isAddressTaken(WorkerReport report) {
+    for (Worker worker : workers.all()) {
+      if (worker.listed && worker.report.address().equals(report.address())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** A worker at the address of another one proves that the other has ended. */
+  private void endPredecessors(WorkerReport report) {
+    for (Worker other : List.copyOf(workers.all())) {
+      boolean replaced =
+          other.report.address().equals(report.address()) && !other.key.equals(report.key());
+      if (replaced) {
+        incarnationOver(other, "address_reused");
+      }
+    }
+  }
+
   /** Takes a worker's report about itself. */
-  public void workerListed(WorkerReport report, long now) {
+  public void workerListed(WorkerReport report) {
     Optional<Worker> newest = workers.newest(report.key().id());
     if (newest.isPresent() && !newest.get().key.equals(report.key())) {
       if (report.key().bornMilliseconds() < newest.get().key.bornMilliseconds()) {
@@ -191,8 +232,8 @@
       known.get().listed = true;
       return;
     }
-    Worker worker = new Worker(report, now + settings.foreignLeaseMilliseconds());
-    workers.add(worker);
+    endPredecessors(report);
+    workers.add(new Worker(report, foreignLeasesEndAt));
     logger.atInfo().log(
         "event=worker_listed worker=%s pool=%s draining=%s",
         report.key(), report.pool(), report.draining());
@@ -229,6 +270,11 @@
     return reports;
   }
 
+  /** Tells whether calls to a worker fail, so that its lease is not to be extended blindly. */
+  public boolean isUnreachable(WorkerKey key) {
+    return workers.find(key).map(worker -> worker.unreachable).orElse(true);
+  }
+
   /** Notes that a renewal of a worker's lease, or a start with its deadline, was sent. */
   public void leaseSent(WorkerKey key, long now) {
     workers
@@ -398,6 +444,7 @@
         task.orderedAt = now;
       }
       case UNKNOWN -> {
+        task.worker.ifPresent(worker -> worker.unreachable = true);
         task.order = Task.Order.UNCERTAIN;
         task.stopAskedAt = now;
       }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerSettings.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerSettings.java
@@ -89,7 +89,7 @@
   /** Builds settings. */
   public static final class Builder {
     private long leaseMilliseconds = 3_500;
-    private long holdWithoutStoreMilliseconds = 10_000;
+    private long holdWithoutStoreMilliseconds = 5_500;
     private long statusRetentionMilliseconds = 120_000;
     private long fenceMilliseconds = 3_000;
     private long interferenceMilliseconds = 4_000;
