--- a/logging/src/main/java/org/flamingochute/logging/BoundedLogHandler.java
+++ b/logging/src/main/java/org/flamingochute/logging/BoundedLogHandler.java
@@ -12,7 +12,8 @@
 import java.util.logging.LogRecord;
 
 /**
- * Writes log lines from a thread of its own, so that no caller ever waits for the reader of the log.
+ * Writes log lines from a thread of its own, so that no caller ever waits for the reader of the
+ * log.
  *
  * <p>Lines wait in a bounded queue. When it is full, further lines are dropped and counted, and a
  * line with the count follows as soon as there is room.
--- a/logging/src/main/java/org/flamingochute/logging/KeyValueLogging.java
+++ b/logging/src/main/java/org/flamingochute/logging/KeyValueLogging.java
@@ -16,7 +16,7 @@
     ConsoleHandler handler = new ConsoleHandler();
     handler.setLevel(Level.ALL);
     handler.setFormatter(new KeyValueFormatter());
-    install(handler);
+    use(handler);
   }
 
   /**
@@ -28,11 +28,11 @@
   public static Handler installBounded() {
     Handler handler =
         new BoundedLogHandler(new FileOutputStream(FileDescriptor.out), new KeyValueFormatter());
-    install(handler);
+    use(handler);
     return handler;
   }
 
-  private static void install(Handler installed) {
+  private static void use(Handler installed) {
     Logger root = Logger.getLogger("");
     for (Handler handler : root.getHandlers()) {
       root.removeHandler(handler);
--- a/node/src/main/java/org/flamingochute/node/FleetState.java
+++ b/node/src/main/java/org/flamingochute/node/FleetState.java
@@ -18,12 +18,12 @@
 import org.flamingochute.platform.wire.WaveCodec;
 import org.flamingochute.platform.wire.WireException;
 import org.flamingochute.platform.wire.WorkerReportCodec;
-import org.flamingochute.schema.scheduling.QueuedJob;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.WaveOrder;
 import org.flamingochute.scheduling.job.JobEntry;
 import org.flamingochute.scheduling.job.JobTable;
 import org.flamingochute.scheduling.worker.WorkerReport;
+import org.flamingochute.schema.scheduling.QueuedJob;
 
 /**
  * What this entry knows from the store: the operators' declaration and waves, the workers' reports,
--- a/node/src/main/java/org/flamingochute/node/front/CallAuthorization.java
+++ b/node/src/main/java/org/flamingochute/node/front/CallAuthorization.java
@@ -13,9 +13,9 @@
 /**
  * Finds the queue that a call is for, and the team whose key came with it.
  *
- * <p>A withdrawn key must stop working in time also at an entry that is cut off from the store. So a
- * key is judged only by a declaration that was confirmed lately, and the age is taken by the slower
- * of two clocks, since one of them stands still while the machine is suspended.
+ * <p>A withdrawn key must stop working in time also at an entry that is cut off from the store. So
+ * a key is judged only by a declaration that was confirmed lately, and the age is taken by the
+ * slower of two clocks, since one of them stands still while the machine is suspended.
  */
 final class CallAuthorization {
   private static final String SCHEME = "Token ";
--- a/node/src/main/java/org/flamingochute/node/front/Front.java
+++ b/node/src/main/java/org/flamingochute/node/front/Front.java
@@ -49,8 +49,7 @@
         server(
             parts.loop(),
             addresses.readiness(),
-            request ->
-                HttpResponse.ofCode(ready.getAsBoolean() ? OK : UNAVAILABLE).toPromise());
+            request -> HttpResponse.ofCode(ready.getAsBoolean() ? OK : UNAVAILABLE).toPromise());
     NodeMetrics figures = parts.metrics();
     metrics =
         server(
@@ -79,9 +78,7 @@
     metrics.listen();
     logger.atInfo().log(
         "event=listening callers=%s readiness=%s metrics=%s",
-        callers.getListenAddresses(),
-        readiness.getListenAddresses(),
-        metrics.getListenAddresses());
+        callers.getListenAddresses(), readiness.getListenAddresses(), metrics.getListenAddresses());
   }
 
   /** Asks callers from now on to close their connections after the answer. */
--- a/node/src/main/java/org/flamingochute/node/front/JobServlet.java
+++ b/node/src/main/java/org/flamingochute/node/front/JobServlet.java
@@ -27,9 +27,9 @@
 import org.flamingochute.platform.wire.KeyedValue;
 import org.flamingochute.platform.wire.SubmissionCodec;
 import org.flamingochute.platform.wire.WireException;
-import org.flamingochute.schema.scheduling.QueuedJob;
 import org.flamingochute.scheduling.job.JobEntry;
 import org.flamingochute.scheduling.job.JobPhase;
+import org.flamingochute.schema.scheduling.QueuedJob;
 
 /** Answers callers: takes jobs in, withdraws them and tells how far they are. */
 final class JobServlet implements AsyncServlet {
@@ -80,7 +80,7 @@
     underWay++;
     Either<Answer, CallAuthorization.Authorized> call = authorization.authorize(request);
     Promise<Answer> answer =
-        call.isLeft() ? Promise.of(call.getLeft()) : serve(request, call.get(), began);
+        call.isLeft() ? Promise.of(call.getLeft()) : dispatch(request, call.get(), began);
     return answer.then(
         (result, error) -> {
           underWay--;
@@ -106,7 +106,7 @@
     }
   }
 
-  private Promise<Answer> serve(
+  private Promise<Answer> dispatch(
       HttpRequest request, CallAuthorization.Authorized call, long began) {
     if (call.rest().isEmpty()) {
       return Promise.of(
@@ -146,11 +146,7 @@
 
   private Answer phase(JobId id) {
     Optional<JobPhase> phase =
-        state
-            .jobs()
-            .find(id)
-            .filter(entry -> entry.definition().isPresent())
-            .map(JobEntry::phase);
+        state.jobs().find(id).filter(entry -> entry.definition().isPresent()).map(JobEntry::phase);
     if (phase.isPresent()) {
       return Answer.ok(AnswerCodec.phase(phase.get()), phase.get().name());
     }
@@ -186,7 +182,7 @@
       return Promise.of(storeLost());
     }
     byte[] value = Long.toString(clock.timeOfDay()).getBytes(StandardCharsets.US_ASCII);
-    return store(new KeyedValue(ScheduleKeys.cancellation(id), value), patience)
+    return append(new KeyedValue(ScheduleKeys.cancellation(id), value), patience)
         .map(
             result -> {
               if (result == IntakeResult.STORED) {
@@ -196,7 +192,7 @@
             });
   }
 
-  private Promise<IntakeResult> store(KeyedValue record, long patience) {
+  private Promise<IntakeResult> append(KeyedValue record, long patience) {
     SettablePromise<IntakeResult> promise = new SettablePromise<>();
     CompletableFuture<IntakeResult> future = intake.append(record, patience);
     future.thenAccept(promise::set);
@@ -226,7 +222,7 @@
                 return Promise.of(
                     Answer.refused(Answer.TOO_LARGE, "the body is over " + limit + " bytes"));
               }
-              return submit(request, id, bytesOf(body), began);
+              return store(request, id, bytesOf(body), began);
             });
   }
 
@@ -235,7 +231,7 @@
   }
 
   /** Judges again after the body was read, since the declaration may have changed meanwhile. */
-  private Promise<Answer> submit(HttpRequest request, JobId id, byte[] body, long began) {
+  private Promise<Answer> store(HttpRequest request, JobId id, byte[] body, long began) {
     Either<Answer, CallAuthorization.Authorized> call = authorization.authorize(request);
     if (call.isLeft()) {
       return Promise.of(call.getLeft());
@@ -254,7 +250,7 @@
       return Promise.of(Answer.refused(Answer.BAD_REQUEST, e.getMessage()));
     }
     KeyedValue record = new KeyedValue(ScheduleKeys.job(id), job.toByteArray());
-    return store(record, patience(request, call.get(), began))
+    return append(record, patience(request, call.get(), began))
         .map(
             result -> {
               if (result == IntakeResult.STORED) {
--- a/node/src/main/java/org/flamingochute/node/office/Office.java
+++ b/node/src/main/java/org/flamingochute/node/office/Office.java
@@ -20,9 +20,6 @@
 import org.flamingochute.platform.wire.StoreAppend;
 import org.flamingochute.platform.wire.StoreRecord;
 import org.flamingochute.platform.wire.StoreTopic;
-import org.flamingochute.schema.scheduling.JobProgress;
-import org.flamingochute.schema.scheduling.SchedulerTenure;
-import org.flamingochute.schema.scheduling.WaveProgress;
 import org.flamingochute.scheduling.core.Scheduler;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.WaveOrder;
@@ -30,10 +27,13 @@
 import org.flamingochute.scheduling.leadership.TenureEpoch;
 import org.flamingochute.scheduling.leadership.TenureWatch;
 import org.flamingochute.scheduling.worker.WorkerReport;
+import org.flamingochute.schema.scheduling.JobProgress;
+import org.flamingochute.schema.scheduling.SchedulerTenure;
+import org.flamingochute.schema.scheduling.WaveProgress;
 
 /**
- * The office of the scheduler as this entry sees it: it follows the holder's records, takes over when
- * the holder is silent, and gives the office back when this entry stops.
+ * The office of the scheduler as this entry sees it: it follows the holder's records, takes over
+ * when the holder is silent, and gives the office back when this entry stops.
  *
  * <p>A claim is one append of a tenure with a higher epoch, on the condition that the topic ends
  * where this entry's knowledge ends. When it succeeds, this entry knows every record of its
@@ -185,8 +185,7 @@
     }
     state.waves().forEach(order -> scheduler.waveOrdered(order, progressOf(order)));
     watch.observe(tenure, now);
-    SchedulerRunner started =
-        new SchedulerRunner(parts, tenure, scheduler, this::officeOver);
+    SchedulerRunner started = new SchedulerRunner(parts, tenure, scheduler, this::officeOver);
     runner = Optional.of(started);
     logger.atInfo().log(
         "event=office_taken epoch=%d jobs=%d", tenure.getEpoch(), state.jobs().entries().size());
--- a/node/src/main/java/org/flamingochute/node/office/SchedulerRunner.java
+++ b/node/src/main/java/org/flamingochute/node/office/SchedulerRunner.java
@@ -23,9 +23,6 @@
 import org.flamingochute.platform.wire.StoreTopic;
 import org.flamingochute.platform.wire.WaveCodec;
 import org.flamingochute.platform.wire.WorkerClient;
-import org.flamingochute.schema.scheduling.JobProgress;
-import org.flamingochute.schema.scheduling.SchedulerTenure;
-import org.flamingochute.schema.scheduling.WaveProgress;
 import org.flamingochute.scheduling.core.MachineOutcome;
 import org.flamingochute.scheduling.core.Scheduler;
 import org.flamingochute.scheduling.core.SchedulerBatch;
@@ -36,10 +33,13 @@
 import org.flamingochute.scheduling.job.JobTable;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
+import org.flamingochute.schema.scheduling.JobProgress;
+import org.flamingochute.schema.scheduling.SchedulerTenure;
+import org.flamingochute.schema.scheduling.WaveProgress;
 
 /**
- * Carries out one tenure of the office: lets the scheduler decide after each change, records what it
- * decided, and sends its orders. Runs on one event loop.
+ * Carries out one tenure of the office: lets the scheduler decide after each change, records what
+ * it decided, and sends its orders. Runs on one event loop.
  */
 final class SchedulerRunner implements OfficeContext {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -92,8 +92,7 @@
     this.whenOver = over;
     this.renewal = tenure.getRenewal();
     this.lastAppendAt = clock.steady();
-    this.writer =
-        new ScheduleWriter(loop, clock, store, tenure.getEpoch(), () -> fenced("store"));
+    this.writer = new ScheduleWriter(loop, clock, store, tenure.getEpoch(), () -> fenced("store"));
   }
 
   Scheduler scheduler() {
@@ -279,8 +278,10 @@
   private void carryOut(SchedulerCommand command) {
     switch (command) {
       case SchedulerCommand.StartTask start -> startTask(start);
-      case SchedulerCommand.StopTask stop -> session(stop.worker()).ifPresent(s -> s.stopTask(stop));
-      case SchedulerCommand.PaceTask pace -> session(pace.worker()).ifPresent(s -> s.paceTask(pace));
+      case SchedulerCommand.StopTask stop ->
+          session(stop.worker()).ifPresent(s -> s.stopTask(stop));
+      case SchedulerCommand.PaceTask pace ->
+          session(pace.worker()).ifPresent(s -> s.paceTask(pace));
       case SchedulerCommand.AcknowledgeEnds ends ->
           session(ends.worker()).ifPresent(s -> s.acknowledge(ends.number()));
       case SchedulerCommand.MoveMachine move -> moveMachine(move);
@@ -299,11 +300,7 @@
     }
     Optional<WorkerSession> session = session(start.worker());
     if (session.isEmpty()) {
-      scheduler.startAnswered(
-          start,
-          StartOutcome.NOT_RUN,
-          clock.steady(),
-          clock.timeOfDay());
+      scheduler.startAnswered(start, StartOutcome.NOT_RUN, clock.steady(), clock.timeOfDay());
       return;
     }
     session.get().startTask(start);
@@ -364,8 +361,7 @@
             REPORT_TIMEOUT_MILLISECONDS)
         .thenAccept(
             result -> {
-              boolean stored =
-                  result instanceof StoreAppend.Appended;
+              boolean stored = result instanceof StoreAppend.Appended;
               if (!stored && !stopped) {
                 loop.delay(REPORT_RETRY_MILLISECONDS, () -> reportWave(report));
               }
--- a/node/src/main/java/org/flamingochute/node/office/WorkerSession.java
+++ b/node/src/main/java/org/flamingochute/node/office/WorkerSession.java
@@ -91,12 +91,7 @@
     }
     client
         .renew(
-            worker,
-            deadline,
-            office.epoch(),
-            acknowledged,
-            wait,
-            wait + RENEWAL_SLACK_MILLISECONDS)
+            worker, deadline, office.epoch(), acknowledged, wait, wait + RENEWAL_SLACK_MILLISECONDS)
         .thenAccept(result -> renewed(result, sentAt));
   }
 
@@ -206,7 +201,6 @@
   void paceTask(SchedulerCommand.PaceTask pace) {
     client
         .pace(worker, pace, office.epoch(), ORDER_TIMEOUT_MILLISECONDS)
-        .thenAccept(
-            done -> scheduler.paceAnswered(pace, done, clock.steady()));
+        .thenAccept(done -> scheduler.paceAnswered(pace, done, clock.steady()));
   }
 }
--- a/node/src/main/java/org/flamingochute/node/program/ArchiveTraining.java
+++ b/node/src/main/java/org/flamingochute/node/program/ArchiveTraining.java
@@ -10,8 +10,8 @@
 import org.flamingochute.platform.wire.WireException;
 
 /**
- * A short run that loads the classes of a node, for the archive of classes that speeds up its start.
- * It listens on ports that the system chooses and calls a port where nobody listens.
+ * A short run that loads the classes of a node, for the archive of classes that speeds up its
+ * start. It listens on ports that the system chooses and calls a port where nobody listens.
  */
 public final class ArchiveTraining {
   private static final long RUN_MILLISECONDS = 1_500;
@@ -38,8 +38,7 @@
     Files.writeString(file, SETTINGS);
     DeclarationCodec.read("{\"version\":1}".getBytes(StandardCharsets.UTF_8));
     SubmissionCodec.read(
-        "{\"spec\":\"a\",\"job_steps\":[{\"count\":1}]}"
-            .getBytes(StandardCharsets.UTF_8));
+        "{\"spec\":\"a\",\"job_steps\":[{\"count\":1}]}".getBytes(StandardCharsets.UTF_8));
     Thread ending =
         new Thread(
             () -> {
--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -28,9 +28,9 @@
 import org.flamingochute.platform.wire.StoreClient;
 import org.flamingochute.platform.wire.StoreTopic;
 import org.flamingochute.platform.wire.WorkerClient;
+import org.flamingochute.scheduling.core.SchedulerSettings;
 import org.flamingochute.schema.BoundSection;
 import org.flamingochute.schema.NodeSettings;
-import org.flamingochute.scheduling.core.SchedulerSettings;
 
 /** One running node: all its parts on one event loop. */
 final class Node {
@@ -45,7 +45,9 @@
   /** Shorter than the others, since the silence of the scheduler is measured between answers. */
   private static final long SCHEDULE_WAIT_MILLISECONDS = 350;
 
-  /** Groups the records of jobs at entries that do not schedule; callers see them this much later. */
+  /**
+   * Groups the records of jobs at entries that do not schedule; callers see them this much later.
+   */
   private static final long JOB_PAUSE_MILLISECONDS = 100;
 
   /** Groups the reports of workers, which only a new scheduler needs. */
@@ -297,8 +299,8 @@
   }
 
   /**
-   * Stops gracefully: gives the office back, serves open connections for a while, and returns when no
-   * call is under way.
+   * Stops gracefully: gives the office back, serves open connections for a while, and returns when
+   * no call is under way.
    */
   void stop() {
     CompletableFuture<Void> ended = new CompletableFuture<>();
--- a/node/src/main/java/org/flamingochute/node/program/NodeMain.java
+++ b/node/src/main/java/org/flamingochute/node/program/NodeMain.java
@@ -20,8 +20,8 @@
 /**
  * The node's program.
  *
- * <p>It runs until it is asked to terminate, then stops gracefully and exits with 0. A hang-up signal
- * makes it check the settings file anew and report what is wrong with it.
+ * <p>It runs until it is asked to terminate, then stops gracefully and exits with 0. A hang-up
+ * signal makes it check the settings file anew and report what is wrong with it.
  */
 public final class NodeMain {
   static final int EXIT_OK = 0;
--- a/node/src/main/java/org/flamingochute/node/store/StoreFollower.java
+++ b/node/src/main/java/org/flamingochute/node/store/StoreFollower.java
@@ -180,8 +180,7 @@
   private void deliver(StoreRead.Records records, Moment sentAt) {
     if (records.unreadable() > 0) {
       logger.atWarning().log(
-          "event=records_unreadable topic=%s from=%d count=%d",
-          topic, next, records.unreadable());
+          "event=records_unreadable topic=%s from=%d count=%d", topic, next, records.unreadable());
     }
     next = records.next();
     for (StoreRecord record : records.records()) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Evacuation.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Evacuation.java
@@ -5,9 +5,9 @@
 /**
  * Empties a worker before its machine goes down, moves or leaves.
  *
- * <p>Runs that end by themselves are waited for. A task that lasts is stopped, to start elsewhere, as
- * long as its step has no more tasks away than it bears; so at most that many are ever away by our
- * own doing, however many workers are emptied at once.
+ * <p>Runs that end by themselves are waited for. A task that lasts is stopped, to start elsewhere,
+ * as long as its step has no more tasks away than it bears; so at most that many are ever away by
+ * our own doing, however many workers are emptied at once.
  */
 final class Evacuation {
   private final TaskLifecycle lifecycle;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Job.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Job.java
@@ -91,8 +91,7 @@
     if (definition.getRepetitions() == 0) {
       return definition.getAcceptedMilliseconds();
     }
-    return definition.getFirstDueMilliseconds()
-        + occurrence * definition.getIntervalMilliseconds();
+    return definition.getFirstDueMilliseconds() + occurrence * definition.getIntervalMilliseconds();
   }
 
   boolean isEveryTaskDone() {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/JobBook.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/JobBook.java
@@ -35,9 +35,7 @@
 
   Optional<Task> find(TaskId id) {
     Job job = jobs.get(id.job());
-    return job == null
-        ? Optional.empty()
-        : job.find(id.occurrence(), id.step(), id.index());
+    return job == null ? Optional.empty() : job.find(id.occurrence(), id.step(), id.index());
   }
 
   Collection<Job> all() {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -50,11 +50,7 @@
   private record Move(PoolId pool, long orderedAt) {}
 
   PoolPlanner(
-      WorkerBook workers,
-      MachineBook machines,
-      JobBook jobs,
-      WaveConductor waves,
-      Outbox outbox) {
+      WorkerBook workers, MachineBook machines, JobBook jobs, WaveConductor waves, Outbox outbox) {
     this.workers = workers;
     this.machines = machines;
     this.jobs = jobs;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -16,11 +16,6 @@
 import org.flamingochute.decision.identity.TaskId;
 import org.flamingochute.decision.placement.ResourceVector;
 import org.flamingochute.decision.placement.WorkerHealth;
-import org.flamingochute.schema.scheduling.JobProgress;
-import org.flamingochute.schema.scheduling.QueuePolicy;
-import org.flamingochute.schema.scheduling.QueuedJob;
-import org.flamingochute.schema.scheduling.TaskProgress;
-import org.flamingochute.schema.scheduling.WaveProgress;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.Machine;
 import org.flamingochute.scheduling.fleet.Queue;
@@ -32,6 +27,11 @@
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerListing;
 import org.flamingochute.scheduling.worker.WorkerReport;
+import org.flamingochute.schema.scheduling.JobProgress;
+import org.flamingochute.schema.scheduling.QueuePolicy;
+import org.flamingochute.schema.scheduling.QueuedJob;
+import org.flamingochute.schema.scheduling.TaskProgress;
+import org.flamingochute.schema.scheduling.WaveProgress;
 
 /**
  * Decides which task runs where, and what happens to machines.
@@ -40,12 +40,15 @@
  * decides comes out as a {@link SchedulerBatch}. A start is sent only after its record is durable,
  * and an end is acknowledged only after it is recorded. So a successor finds every run that may
  * exist in the records, and every end either there or still on its worker. Times named {@code now}
- * are milliseconds of a steady clock, {@code timeOfDay} milliseconds since 1970. Used by one thread.
+ * are milliseconds of a steady clock, {@code timeOfDay} milliseconds since 1970. Used by one
+ * thread.
  */
 public final class Scheduler {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Time for which a start without an answer may still show up in a listing before it is stopped. */
+  /**
+   * Time for which a start without an answer may still show up in a listing before it is stopped.
+   */
   private static final long UNCERTAIN_START_MILLISECONDS = 150;
 
   /** Pause before an order to stop is repeated. */
@@ -62,6 +65,7 @@
 
   /** Time at which everything that a predecessor may have held certainly ended. */
   private final long foreignLeasesEndAt;
+
   private final WorkerBook workers = new WorkerBook();
   private final JobBook jobs = new JobBook();
   private final MachineBook machines = new MachineBook();
@@ -84,16 +88,12 @@
    * @param beganAt time at which it took office
    */
   public Scheduler(
-      SchedulerSettings settings,
-      FleetDeclaration declaration,
-      boolean handedOver,
-      long beganAt) {
+      SchedulerSettings settings, FleetDeclaration declaration, boolean handedOver, long beganAt) {
     this.settings = settings;
     this.declaration = declaration;
     this.beganAt = beganAt;
     foreignLeasesEndAt =
-        beganAt
-            + (handedOver ? settings.lapseMilliseconds() : settings.foreignLeaseMilliseconds());
+        beganAt + (handedOver ? settings.lapseMilliseconds() : settings.foreignLeaseMilliseconds());
     lifecycle = new TaskLifecycle(jobs, usage, health, outbox, settings);
     placement = new Placement(workers, jobs, usage, lifecycle, new WorkerChoice(health));
     evacuation = new Evacuation(lifecycle);
@@ -158,14 +158,13 @@
     switch (recorded.getPhase()) {
       case DONE -> task.occurrence.taskDone(task.id.step());
       case ASSIGNED -> lifecycle.inherit(task, workerOf(recorded, job.pool));
-      case WAITING, UNRECOGNIZED -> task.phase = TaskProgress.Phase.WAITING;
+      default -> task.phase = TaskProgress.Phase.WAITING;
     }
   }
 
   private Worker workerOf(TaskProgress recorded, PoolId pool) {
     WorkerKey key =
-        new WorkerKey(
-            new InstanceId(recorded.getWorker()), recorded.getWorkerBornMilliseconds());
+        new WorkerKey(new InstanceId(recorded.getWorker()), recorded.getWorkerBornMilliseconds());
     Optional<Worker> known = workers.find(key);
     if (known.isPresent()) {
       return known.get();
@@ -317,8 +316,7 @@
     applyRunning(worker, listing.running(), sentAt, endsComplete, now);
   }
 
-  private void applyEnds(
-      Worker worker, List<FinishedTask> finished, long now, long timeOfDay) {
+  private void applyEnds(Worker worker, List<FinishedTask> finished, long now, long timeOfDay) {
     boolean advanced = false;
     for (FinishedTask end : finished) {
       if (end.number() <= worker.appliedEnds) {
@@ -336,8 +334,7 @@
       lifecycle.ended(task, end.reason(), end.checkpoint(), now, timeOfDay);
     }
     if (advanced) {
-      outbox.afterRecording(
-          new SchedulerCommand.AcknowledgeEnds(worker.key, worker.appliedEnds));
+      outbox.afterRecording(new SchedulerCommand.AcknowledgeEnds(worker.key, worker.appliedEnds));
     }
   }
 
@@ -458,8 +455,7 @@
         task.notBefore = now + NO_ROOM_DELAY_MILLISECONDS;
         lifecycle.release(task, "no_room");
       }
-      case FENCED, SUPERSEDED, EXPIRED, TICKET_REFUSED ->
-          lifecycle.release(task, outcome.name().toLowerCase(Locale.ROOT));
+      default -> lifecycle.release(task, outcome.name().toLowerCase(Locale.ROOT));
     }
   }
 
@@ -488,8 +484,7 @@
   }
 
   /** Takes the platform's answer to an order to move a machine. */
-  public void moveAnswered(
-      SchedulerCommand.MoveMachine order, MachineOutcome outcome, long now) {
+  public void moveAnswered(SchedulerCommand.MoveMachine order, MachineOutcome outcome, long now) {
     logger.atInfo().log(
         "event=move_answered machine=%s pool=%s outcome=%s",
         order.machine(), order.pool(), outcome);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerBatch.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerBatch.java
@@ -13,8 +13,8 @@
  * @param records new progress of jobs, to be recorded all or nothing
  * @param forgotten jobs whose records are dropped
  * @param waves new progress of maintenance waves by number
- * @param afterRecording commands that are carried out once the records are durable: a start that was
- *     sent without its record could run twice
+ * @param afterRecording commands that are carried out once the records are durable: a start that
+ *     was sent without its record could run twice
  */
 public record SchedulerBatch(
     List<SchedulerCommand> immediate,
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerCommand.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerCommand.java
@@ -17,8 +17,7 @@
    * @param payload what the job's caller handed in for its tasks
    * @param checkpoint where to resume, or empty
    */
-  record StartTask(
-      WorkerKey worker, TaskId task, int attempt, String payload, String checkpoint)
+  record StartTask(WorkerKey worker, TaskId task, int attempt, String payload, String checkpoint)
       implements SchedulerCommand {}
 
   /**
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -5,9 +5,9 @@
 import java.util.Set;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.TaskId;
+import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.schema.scheduling.QueuedStep;
 import org.flamingochute.schema.scheduling.TaskProgress;
-import org.flamingochute.scheduling.worker.WorkerKey;
 
 /** One task and its current run, as the scheduler knows it. Changed by {@link TaskLifecycle}. */
 final class Task {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -6,16 +6,16 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.flamingochute.decision.placement.WorkerHealth;
+import org.flamingochute.scheduling.worker.EndReason;
 import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.TaskProgress;
-import org.flamingochute.scheduling.worker.EndReason;
 
 /**
  * Moves tasks between waiting, assigned and done, and jobs to their ends.
  *
  * <p>An assigned task counts against its worker's room and its team's cap until it is certain that
- * its run is over: an end that the worker listed, a listing without the run that was asked for after
- * the worker had it, a lease that expired, or a new incarnation of the worker.
+ * its run is over: an end that the worker listed, a listing without the run that was asked for
+ * after the worker had it, a lease that expired, or a new incarnation of the worker.
  */
 final class TaskLifecycle {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -110,7 +110,7 @@
     if (!task.isAssigned() || task.worker.isEmpty()) {
       return;
     }
-    boolean unsent = task.order == Task.Order.RECORDING;
+    final boolean unsent = task.order == Task.Order.RECORDING;
     task.order = Task.Order.STOPPING;
     task.orderedAt = Long.MAX_VALUE;
     task.stopAskedAt = now;
@@ -119,8 +119,7 @@
       release(task, "stopped_before_start");
       return;
     }
-    outbox.now(
-        new SchedulerCommand.StopTask(task.worker.get().key, task.id, task.attempt));
+    outbox.now(new SchedulerCommand.StopTask(task.worker.get().key, task.id, task.attempt));
   }
 
   /** Repeats the order to stop, which got no answer. */
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TeamUsage.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TeamUsage.java
@@ -17,9 +17,7 @@
 
   void remove(Task task) {
     task.job.team.ifPresent(
-        team ->
-            running.computeIfPresent(
-                team, (id, sum) -> sum.minus(Worker.demandOf(task.step))));
+        team -> running.computeIfPresent(team, (id, sum) -> sum.minus(Worker.demandOf(task.step))));
   }
 
   ResourceVector of(TeamId team) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/UrgencyOrder.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/UrgencyOrder.java
@@ -6,10 +6,10 @@
 /**
  * The order in which the jobs of a pool get room.
  *
- * <p>A job is worth most when it ends within its objective. Jobs that can still do so come first, the
- * most urgent one at the front; those whose time has run out follow, the freshest first, since a job
- * that is late already loses nothing more by waiting. Earliest deadline first alone breaks down
- * under overload: it spends the room on jobs that are about to be late, and then all are late.
+ * <p>A job is worth most when it ends within its objective. Jobs that can still do so come first,
+ * the most urgent one at the front; those whose time has run out follow, the freshest first, since
+ * a job that is late already loses nothing more by waiting. Earliest deadline first alone breaks
+ * down under overload: it spends the room on jobs that are about to be late, and then all are late.
  */
 final class UrgencyOrder {
   private static final Comparator<Job> BY_LATEST_START =
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveConductor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveConductor.java
@@ -11,9 +11,9 @@
 import java.util.Optional;
 import java.util.Set;
 import org.flamingochute.decision.identity.MachineId;
-import org.flamingochute.schema.scheduling.WaveProgress;
 import org.flamingochute.scheduling.fleet.Machine;
 import org.flamingochute.scheduling.fleet.WaveOrder;
+import org.flamingochute.schema.scheduling.WaveProgress;
 
 /**
  * Carries out maintenance waves: empties a few machines ahead, and takes one down whenever it is
@@ -34,8 +34,7 @@
   private final Outbox outbox;
   private final Map<Long, Wave> waves = new LinkedHashMap<>();
 
-  WaveConductor(
-      WorkerBook workers, MachineBook machines, Evacuation evacuation, Outbox outbox) {
+  WaveConductor(WorkerBook workers, MachineBook machines, Evacuation evacuation, Outbox outbox) {
     this.workers = workers;
     this.machines = machines;
     this.evacuation = evacuation;
@@ -225,7 +224,7 @@
     switch (outcome) {
       case DONE -> wave.enter(machine, Stage.DOWN, now);
       case IMPOSSIBLE, OTHER_WAVE -> finish(wave, machine);
-      case BUSY, THROTTLED, UNKNOWN, FENCED -> {
+      default -> {
         wave.enter(machine, Stage.EMPTYING, now);
         wave.notBefore.put(machine, now + RETRY_MILLISECONDS);
       }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
@@ -5,9 +5,9 @@
 import java.util.Optional;
 import org.flamingochute.decision.identity.TaskId;
 import org.flamingochute.decision.placement.ResourceVector;
-import org.flamingochute.schema.scheduling.QueuedStep;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
+import org.flamingochute.schema.scheduling.QueuedStep;
 
 /** One incarnation of a worker, as the scheduler knows it. */
 final class Worker {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerChoice.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerChoice.java
@@ -10,8 +10,8 @@
  * Chooses the worker for one task.
  *
  * <p>Among the workers that may run it, one near the task's data comes first, then one on which the
- * task has not failed; a filler avoids workers with serving tasks and the other way round; last, the
- * fullest worker wins, so that others stay empty and can be moved or maintained.
+ * task has not failed; a filler avoids workers with serving tasks and the other way round; last,
+ * the fullest worker wins, so that others stay empty and can be moved or maintained.
  */
 final class WorkerChoice {
   private final WorkerHealth health;
@@ -47,8 +47,7 @@
         && !worker.report.labels().contains(step.getRequiredLabel())) {
       return false;
     }
-    if (step.getMaximumPerWorker() > 0
-        && tasksOfStep(task, worker) >= step.getMaximumPerWorker()) {
+    if (step.getMaximumPerWorker() > 0 && tasksOfStep(task, worker) >= step.getMaximumPerWorker()) {
       return false;
     }
     return worker.tasks.size() < health.jobLimit(worker.key.id(), now);
@@ -57,8 +56,7 @@
   private static int tasksOfStep(Task task, Worker worker) {
     int count = 0;
     for (Task other : worker.tasks.values()) {
-      boolean sameStep =
-          other.occurrence == task.occurrence && other.id.step() == task.id.step();
+      boolean sameStep = other.occurrence == task.occurrence && other.id.step() == task.id.step();
       if (sameStep) {
         count++;
       }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/fleet/Machine.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/fleet/Machine.java
@@ -16,11 +16,7 @@
  * @param worker worker that runs on it
  */
 public record Machine(
-    MachineId id,
-    PoolId pool,
-    State state,
-    ResourceVector capacity,
-    Optional<InstanceId> worker) {
+    MachineId id, PoolId pool, State state, ResourceVector capacity, Optional<InstanceId> worker) {
 
   /** What a machine does. */
   public enum State {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/leadership/TenureWatch.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/leadership/TenureWatch.java
@@ -67,7 +67,8 @@
       return false;
     }
     boolean vacant = newest.getEpoch() == 0 || newest.getReleased();
-    long patience = vacant ? claimDelayMilliseconds : TAKEOVER_MILLISECONDS + claimDelayMilliseconds;
+    long patience =
+        vacant ? claimDelayMilliseconds : TAKEOVER_MILLISECONDS + claimDelayMilliseconds;
     return now - Math.max(renewedAt, readsBegan) >= patience;
   }
 }
--- /dev/null
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/scenario/ScenarioPlayer.java
@@ -0,0 +1,163 @@
+package org.flamingochute.scheduling.scenario;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.flamingochute.decision.identity.JobId;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.decision.identity.QueueId;
+import org.flamingochute.decision.identity.TaskId;
+import org.flamingochute.decision.identity.TeamId;
+import org.flamingochute.decision.placement.ResourceVector;
+import org.flamingochute.scheduling.fleet.FleetDeclaration;
+import org.flamingochute.scheduling.fleet.Pool;
+import org.flamingochute.scheduling.fleet.Queue;
+import org.flamingochute.scheduling.fleet.Team;
+import org.flamingochute.scheduling.simulation.SimulatedFleet;
+import org.flamingochute.schema.scheduling.QueuePolicy;
+import org.flamingochute.schema.scheduling.QueuedJob;
+import org.flamingochute.schema.scheduling.QueuedStep;
+
+/** Plays one scenario, line by line. */
+final class ScenarioPlayer {
+  private final FleetDeclaration.Builder declared = FleetDeclaration.builder().version(1);
+  private Optional<SimulatedFleet> fleet = Optional.empty();
+
+  void play(ScenarioLine line) {
+    switch (line.word(0)) {
+      case "queue" -> declareQueue(line);
+      case "team" -> declareTeam(line);
+      case "worker" -> fleet().addWorker(line.word(1), pool(line), capacity(line), labels(line));
+      case "submit" -> submit(line);
+      case "cancel" -> fleet().cancel(new JobId(line.word(1)));
+      case "advance" -> fleet().advance(Long.parseLong(line.word(1)));
+      case "takeover" -> fleet().takeOver(line.word(1).equals("graceful"));
+      case "store" -> fleet().setStoreDown(line.word(1).equals("down"));
+      case "fault" -> fault(line);
+      case "expect" -> expect(line);
+      default -> throw new IllegalArgumentException("unknown line \"" + line + "\"");
+    }
+  }
+
+  private SimulatedFleet fleet() {
+    if (fleet.isEmpty()) {
+      fleet = Optional.of(new SimulatedFleet(declared.build()));
+    }
+    return fleet.get();
+  }
+
+  private void declareQueue(ScenarioLine line) {
+    QueuePolicy policy =
+        QueuePolicy.newBuilder()
+            .setService(line.value("pool", "p"))
+            .setPriority((int) line.number("priority", 0))
+            .setMaximumAttempts((int) line.number("attempts", 3))
+            .setSlackFactor(Double.parseDouble(line.value("slack", "1.6")))
+            .setObjectiveMilliseconds(line.number("objective", 600))
+            .build();
+    declared.queue(
+        new Queue(
+            new QueueId(line.word(1)), "host", "/" + line.word(1) + "/", 3_000, true, policy));
+    declared.pool(new Pool(pool(line), true, false));
+  }
+
+  private void declareTeam(ScenarioLine line) {
+    ResourceVector cap = new ResourceVector(line.number("cpu", 0), line.number("mem", 0), 0);
+    declared.team(new Team(new TeamId(line.word(1)), Set.of(), 1, cap));
+  }
+
+  private static PoolId pool(ScenarioLine line) {
+    return new PoolId(line.value("pool", "p"));
+  }
+
+  private static ResourceVector capacity(ScenarioLine line) {
+    return new ResourceVector(line.number("cpu", 32_000), line.number("mem", 65_536), 0);
+  }
+
+  private static List<String> labels(ScenarioLine line) {
+    return List.of(line.value("kind", "a"), line.value("rack", "r1"));
+  }
+
+  private void submit(ScenarioLine line) {
+    QueuedJob.Builder job =
+        QueuedJob.newBuilder()
+            .setQueue(line.value("queue", "q"))
+            .setOrganisation(line.value("team", ""))
+            .setAcceptedMilliseconds(fleet().now());
+    for (String step : line.values("step")) {
+      job.addSteps(step(step));
+    }
+    fleet().submit(new JobId(line.word(1)), job.build(), line.number("run", 100));
+  }
+
+  /** Reads a step in the form count:4,cpu:1000,after:0. */
+  private static QueuedStep step(String text) {
+    QueuedStep.Builder step =
+        QueuedStep.newBuilder().setCount(1).setProcessorMillicores(1_000).setMemoryMebibytes(100);
+    for (String part : text.split(",")) {
+      String key = part.contains(":") ? part.substring(0, part.indexOf(':')) : part;
+      String value = part.substring(part.indexOf(':') + 1);
+      switch (key) {
+        case "count" -> step.setCount(Integer.parseInt(value));
+        case "cpu" -> step.setProcessorMillicores(Integer.parseInt(value));
+        case "mem" -> step.setMemoryMebibytes(Integer.parseInt(value));
+        case "estimate" -> step.setEstimateMilliseconds(Long.parseLong(value));
+        case "after" -> step.addDependencies(Integer.parseInt(value));
+        case "per-worker" -> step.setMaximumPerWorker(Integer.parseInt(value));
+        case "label" -> step.setRequiredLabel(value);
+        case "rack" -> step.setPreferredRack(value);
+        case "unavailable" -> step.setMaximumUnavailable(Integer.parseInt(value));
+        case "lasting" -> step.setLongRunning(true);
+        case "filler" -> step.setFiller(true);
+        case "gang" -> step.setGang(true);
+        default -> throw new IllegalArgumentException("unknown part of a step \"" + part + "\"");
+      }
+    }
+    return step.build();
+  }
+
+  private void fault(ScenarioLine line) {
+    SimulatedFleet.FaultyWorker worker = fleet().worker(line.word(1));
+    switch (line.word(2)) {
+      case "unreachable" -> worker.setReachable(false);
+      case "reachable" -> worker.setReachable(true);
+      case "unlisted" -> worker.unlist();
+      case "restarted" -> worker.restart();
+      case "draining" -> worker.drain();
+      case "fails" -> worker.failEverything();
+      case "stalls" -> worker.stall();
+      case "loses-answer" -> worker.loseNextStartAnswer();
+      case "delays-start" -> worker.delayNextStart(Long.parseLong(line.word(3)));
+      default -> throw new IllegalArgumentException("unknown fault in \"" + line + "\"");
+    }
+  }
+
+  private void expect(ScenarioLine line) {
+    String reason = line.toString();
+    switch (line.word(1)) {
+      case "phase" ->
+          assertThat(reason, fleet().phase(new JobId(line.word(2))).name(), is(line.word(3)));
+      case "starts" -> assertThat(reason, fleet().startsOf(task(line)), is(count(line, 3)));
+      case "starts-at-most" ->
+          assertThat(reason, fleet().startsOf(task(line)), lessThanOrEqualTo(count(line, 3)));
+      case "on" -> assertThat(reason, fleet().lastWorkerOf(task(line)), is(line.word(3)));
+      case "running" -> assertThat(reason, fleet().running(), is(count(line, 2)));
+      case "running-on" -> assertThat(reason, fleet().runningOn(line.word(2)), is(count(line, 3)));
+      default -> throw new IllegalArgumentException("unknown expectation \"" + line + "\"");
+    }
+  }
+
+  private static int count(ScenarioLine line, int position) {
+    return Integer.parseInt(line.word(position));
+  }
+
+  private static TaskId task(ScenarioLine line) {
+    String[] parts = line.word(2).split("\\.");
+    return new TaskId(
+        new JobId(parts[0]), 0, Integer.parseInt(parts[1]), Integer.parseInt(parts[2]));
+  }
+}
--- /dev/null
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/scenario/package-info.java
@@ -0,0 +1,2 @@
+/** Plays scenario files against the scheduler. */
+package org.flamingochute.scheduling.scenario;
--- /dev/null
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -0,0 +1,405 @@
+package org.flamingochute.scheduling.simulation;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.flamingochute.decision.identity.JobId;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.decision.identity.TaskId;
+import org.flamingochute.decision.placement.ResourceVector;
+import org.flamingochute.scheduling.core.MachineOutcome;
+import org.flamingochute.scheduling.core.Scheduler;
+import org.flamingochute.scheduling.core.SchedulerBatch;
+import org.flamingochute.scheduling.core.SchedulerCommand;
+import org.flamingochute.scheduling.core.SchedulerSettings;
+import org.flamingochute.scheduling.core.StartOutcome;
+import org.flamingochute.scheduling.fleet.FleetDeclaration;
+import org.flamingochute.scheduling.job.JobEntry;
+import org.flamingochute.scheduling.job.JobPhase;
+import org.flamingochute.scheduling.job.JobTable;
+import org.flamingochute.scheduling.worker.EndReason;
+import org.flamingochute.scheduling.worker.FinishedTask;
+import org.flamingochute.scheduling.worker.WorkerKey;
+import org.flamingochute.scheduling.worker.WorkerListing;
+import org.flamingochute.schema.scheduling.QueuedJob;
+
+/**
+ * Workers, a store and one scheduler in virtual time.
+ *
+ * <p>After each step the promises are checked from what the workers did: no task runs twice at
+ * once, none starts after its end was acknowledged, and steps keep their order.
+ */
+public final class SimulatedFleet {
+  private static final long STEP_MILLISECONDS = 10;
+  private static final long RENEWAL_MILLISECONDS = 100;
+
+  private final SchedulerSettings settings = SchedulerSettings.builder().build();
+  private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
+  private final Map<TaskId, Long> durations = new HashMap<>();
+  private final Map<WorkerKey, Long> acknowledged = new HashMap<>();
+  private final Set<TaskId> acknowledgedDone = new HashSet<>();
+  private final Map<TaskId, Integer> starts = new HashMap<>();
+  private final Map<TaskId, String> lastWorker = new HashMap<>();
+  private final List<DelayedStart> delayed = new ArrayList<>();
+  private final List<SchedulerCommand> commands = new ArrayList<>();
+  private final JobTable store = new JobTable();
+  private FleetDeclaration declaration;
+  private Scheduler scheduler;
+  private long now = 1_000;
+  private long epoch = 1;
+  private boolean storeDown;
+  private Optional<SchedulerBatch> unrecorded = Optional.empty();
+
+  private record DelayedStart(
+      SimulatedWorker worker, SchedulerCommand.StartTask start, long token, long at) {}
+
+  /** Creates a fleet without workers. */
+  public SimulatedFleet(FleetDeclaration declaration) {
+    this.declaration = declaration;
+    scheduler = new Scheduler(settings, declaration, true, now);
+  }
+
+  /** Puts a new declaration in force. */
+  public void declare(FleetDeclaration newest) {
+    declaration = newest;
+    scheduler.declare(newest);
+  }
+
+  /** Adds a worker. */
+  public void addWorker(String name, PoolId pool, ResourceVector capacity, List<String> labels) {
+    SimulatedWorker worker = new SimulatedWorker(name, pool, capacity, labels, now);
+    workers.put(name, worker);
+    scheduler.workerListed(worker.report());
+  }
+
+  /** Returns a worker for faults. */
+  public FaultyWorker worker(String name) {
+    return new FaultyWorker(name);
+  }
+
+  /** What can happen to a worker. */
+  public final class FaultyWorker {
+    private final SimulatedWorker worker;
+
+    private FaultyWorker(String name) {
+      worker = workers.get(name);
+    }
+
+    /** No call reaches it, or calls reach it again. */
+    public void setReachable(boolean reachable) {
+      worker.reachable = reachable;
+    }
+
+    /** The store lists it no more. */
+    public void unlist() {
+      worker.listed = false;
+      scheduler.workerUnlisted(worker.key().id());
+    }
+
+    /** It starts again and reports so. */
+    public void restart() {
+      worker.restart(now);
+      worker.listed = true;
+      scheduler.workerListed(worker.report());
+    }
+
+    /** It reports that it is going to leave. */
+    public void drain() {
+      worker.draining = true;
+      scheduler.workerListed(worker.report());
+    }
+
+    /** Every run on it fails at once. */
+    public void failEverything() {
+      worker.failsEverything = true;
+    }
+
+    /** Runs on it make no progress. */
+    public void stall() {
+      worker.stalls = true;
+    }
+
+    /** It carries out the next start, but the answer is lost. */
+    public void loseNextStartAnswer() {
+      worker.losesNextStartAnswer = true;
+    }
+
+    /** It answers nothing to the next start and carries it out later. */
+    public void delayNextStart(long milliseconds) {
+      worker.delaysNextStart = milliseconds;
+    }
+  }
+
+  /** Hands a job in. */
+  public void submit(JobId id, QueuedJob job, long taskMilliseconds) {
+    for (int step = 0; step < job.getStepsCount(); step++) {
+      for (int index = 0; index < job.getSteps(step).getCount(); index++) {
+        durations.put(new TaskId(id, 0, step, index), taskMilliseconds);
+      }
+    }
+    scheduler.jobStored(store.define(id, job), now, now);
+  }
+
+  /** Withdraws a job. */
+  public void cancel(JobId id) {
+    store.cancel(id);
+    scheduler.jobCancelled(id, now, now);
+  }
+
+  /** Makes appends to the store fail, or succeed again. */
+  public void setStoreDown(boolean down) {
+    storeDown = down;
+  }
+
+  /** Another entry takes the office over, with nothing but the store's records. */
+  public void takeOver(boolean handedOver) {
+    epoch++;
+    unrecorded = Optional.empty();
+    acknowledged.clear();
+    scheduler = new Scheduler(settings, declaration, handedOver, now);
+    for (SimulatedWorker worker : workers.values()) {
+      if (worker.listed) {
+        scheduler.workerListed(worker.report());
+      } else {
+        scheduler.workerRemembered(worker.report());
+      }
+    }
+    for (JobEntry entry : List.copyOf(store.entries())) {
+      scheduler.jobStored(entry, now, now);
+    }
+  }
+
+  /** Lets time pass. */
+  public void advance(long milliseconds) {
+    long end = now + milliseconds;
+    while (now < end) {
+      now += STEP_MILLISECONDS;
+      step();
+    }
+  }
+
+  private void step() {
+    deliverDelayedStarts();
+    for (SimulatedWorker worker : workers.values()) {
+      noteEnds(worker, worker.work(now, STEP_MILLISECONDS));
+    }
+    if (now % RENEWAL_MILLISECONDS == 0) {
+      workers.values().forEach(this::renew);
+    }
+    scheduler.decide(now, now);
+    scheduler.takeImmediate().forEach(this::carryOut);
+    record();
+    check();
+  }
+
+  private void noteEnds(SimulatedWorker worker, List<FinishedTask> ends) {
+    if (!ends.isEmpty() && worker.reachable) {
+      renew(worker);
+    }
+  }
+
+  private void renew(SimulatedWorker worker) {
+    boolean wanted =
+        scheduler.workersToHold().stream().anyMatch(report -> report.key().equals(worker.key()));
+    if (!wanted) {
+      return;
+    }
+    boolean extending = !scheduler.isUnreachable(worker.key());
+    if (extending) {
+      scheduler.leaseSent(worker.key(), now);
+    }
+    if (!worker.reachable) {
+      scheduler.renewalFailed(worker.key(), false, "no answer");
+      return;
+    }
+    long last = acknowledged.getOrDefault(worker.key(), 0L);
+    long deadline = extending ? now + settings.leaseMilliseconds() : 0;
+    Optional<WorkerListing> before = worker.renew(epoch, 0, 0);
+    before.ifPresent(listing -> noteAcknowledged(listing, last));
+    worker
+        .renew(epoch, deadline, last)
+        .ifPresent(listing -> scheduler.leaseRenewed(worker.key(), listing, now, now, now));
+  }
+
+  private void noteAcknowledged(WorkerListing listing, long last) {
+    for (FinishedTask end : listing.finished()) {
+      boolean noted = end.number() <= last && end.reason() == EndReason.DONE;
+      if (noted && !isLasting(end.task())) {
+        acknowledgedDone.add(end.task());
+      }
+    }
+  }
+
+  /** Tasks that last start again however they end. */
+  private boolean isLasting(TaskId task) {
+    return store
+        .find(task.job())
+        .flatMap(JobEntry::definition)
+        .map(job -> job.getSteps(task.step()).getLongRunning())
+        .orElse(false);
+  }
+
+  private void record() {
+    SchedulerBatch batch = unrecorded.orElseGet(scheduler::takeBatch);
+    batch.immediate().forEach(this::carryOut);
+    if (storeDown) {
+      unrecorded =
+          Optional.of(
+              new SchedulerBatch(
+                  List.of(),
+                  batch.records(),
+                  batch.forgotten(),
+                  batch.waves(),
+                  batch.afterRecording()));
+      return;
+    }
+    unrecorded = Optional.empty();
+    batch.records().forEach(store::advance);
+    batch.forgotten().forEach(store::drop);
+    batch.afterRecording().forEach(this::carryOut);
+  }
+
+  private void carryOut(SchedulerCommand command) {
+    commands.add(command);
+    switch (command) {
+      case SchedulerCommand.StartTask start -> start(start);
+      case SchedulerCommand.StopTask stop -> stop(stop);
+      case SchedulerCommand.AcknowledgeEnds ends ->
+          acknowledged.merge(ends.worker(), ends.number(), Math::max);
+      case SchedulerCommand.PaceTask pace -> scheduler.paceAnswered(pace, true, now);
+      case SchedulerCommand.MoveMachine move ->
+          scheduler.moveAnswered(move, MachineOutcome.DONE, now);
+      case SchedulerCommand.MaintainMachine upkeep ->
+          scheduler.upkeepAnswered(upkeep, MachineOutcome.DONE, now);
+      case SchedulerCommand.ReportWave report -> {}
+    }
+  }
+
+  private Optional<SimulatedWorker> workerOf(WorkerKey key) {
+    return workers.values().stream().filter(worker -> worker.key().equals(key)).findFirst();
+  }
+
+  private void start(SchedulerCommand.StartTask start) {
+    if (!scheduler.beginStart(start)) {
+      return;
+    }
+    Optional<SimulatedWorker> found = workerOf(start.worker());
+    if (found.isEmpty() || !found.get().reachable) {
+      scheduler.leaseSent(start.worker(), now);
+      scheduler.startAnswered(start, StartOutcome.UNKNOWN, now, now);
+      return;
+    }
+    SimulatedWorker worker = found.get();
+    scheduler.leaseSent(start.worker(), now);
+    if (worker.delaysNextStart > 0) {
+      delayed.add(new DelayedStart(worker, start, epoch, now + worker.delaysNextStart));
+      worker.delaysNextStart = 0;
+      scheduler.startAnswered(start, StartOutcome.UNKNOWN, now, now);
+      return;
+    }
+    StartOutcome outcome = deliver(worker, start, epoch);
+    if (worker.losesNextStartAnswer) {
+      worker.losesNextStartAnswer = false;
+      outcome = StartOutcome.UNKNOWN;
+    }
+    scheduler.startAnswered(start, outcome, now, now);
+  }
+
+  private void deliverDelayedStarts() {
+    for (DelayedStart late : List.copyOf(delayed)) {
+      if (late.at() <= now) {
+        delayed.remove(late);
+        deliver(late.worker(), late.start(), late.token());
+      }
+    }
+  }
+
+  private StartOutcome deliver(
+      SimulatedWorker worker, SchedulerCommand.StartTask start, long token) {
+    SimulatedWorker.Run run =
+        new SimulatedWorker.Run(
+            start.task(), start.attempt(), durations.getOrDefault(start.task(), 100L));
+    StartOutcome outcome = worker.start(start, token, now + settings.leaseMilliseconds(), run);
+    if (outcome == StartOutcome.STARTED) {
+      starts.merge(start.task(), 1, Integer::sum);
+      lastWorker.put(start.task(), worker.name);
+      if (acknowledgedDone.contains(start.task())) {
+        throw new AssertionError(start.task() + " starts after its end was acknowledged");
+      }
+    }
+    return outcome;
+  }
+
+  private void stop(SchedulerCommand.StopTask stop) {
+    Optional<SimulatedWorker> found = workerOf(stop.worker());
+    boolean carriedOut =
+        found.isPresent() && found.get().reachable && found.get().stop(stop, epoch);
+    scheduler.stopAnswered(stop, carriedOut, now);
+  }
+
+  private void check() {
+    Map<TaskId, String> running = new HashMap<>();
+    for (SimulatedWorker worker : workers.values()) {
+      for (SimulatedWorker.Run run : worker.runs()) {
+        String other = running.put(run.task, worker.name);
+        if (other != null) {
+          throw new AssertionError(
+              run.task + " runs on " + other + " and on " + worker.name + " at " + now);
+        }
+      }
+    }
+  }
+
+  /** Returns how far a job is. */
+  public JobPhase phase(JobId id) {
+    return store.find(id).orElseThrow().phase();
+  }
+
+  /** Returns how often a task was started. */
+  public int startsOf(TaskId task) {
+    return starts.getOrDefault(task, 0);
+  }
+
+  /** Returns the worker that a task was started on last. */
+  public String lastWorkerOf(TaskId task) {
+    return lastWorker.getOrDefault(task, "none");
+  }
+
+  /** Returns the number of tasks that run on a worker. */
+  public int runningOn(String name) {
+    int count = 0;
+    for (SimulatedWorker.Run run : workers.get(name).runs()) {
+      count++;
+    }
+    return count;
+  }
+
+  /** Returns the number of tasks that run. */
+  public int running() {
+    int count = 0;
+    for (String name : workers.keySet()) {
+      count += runningOn(name);
+    }
+    return count;
+  }
+
+  /** Returns everything that the scheduler ordered. */
+  public List<SchedulerCommand> commands() {
+    return List.copyOf(commands);
+  }
+
+  /** Returns the scheduler, for inputs that the fleet does not make. */
+  public Scheduler scheduler() {
+    return scheduler;
+  }
+
+  /** Returns the time. */
+  public long now() {
+    return now;
+  }
+}
