Forecast turns of pools, put a team's excess last, take over at once from an ended process

Cause: (1) pools kept their own machines between turns; (2) a hot team's jobs filled the pools before those of others; (3) after all processes were killed the office stayed empty for 1.2 s though its holder's own instance was back, and machines waited 3 s more.

--- a/node/src/main/java/org/flamingochute/node/office/Office.java
+++ b/node/src/main/java/org/flamingochute/node/office/Office.java
@@ -20,6 +20,7 @@
 import org.flamingochute.platform.wire.StoreAppend;
 import org.flamingochute.platform.wire.StoreRecord;
 import org.flamingochute.platform.wire.StoreTopic;
+import org.flamingochute.scheduling.core.Predecessor;
 import org.flamingochute.scheduling.core.Scheduler;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.WaveOrder;
@@ -44,6 +45,7 @@
 
   private static final long CHECK_MILLISECONDS = 50;
   private static final long CLAIM_TIMEOUT_MILLISECONDS = 800;
+  private static final String HOLDER_SEPARATOR = "/";
   private static final int CLAIM_TRIES = 4;
 
   /** Time in which the records that made a claim fail are read. */
@@ -115,13 +117,22 @@
     return now >= nextClaimAt && watch.mayClaim(now);
   }
 
-  /** A claim without an answer may have succeeded; then a new one need not wait. */
+  /**
+   * The office may belong to this process, by a claim without an answer, or to an earlier process
+   * of this instance, which has ended. Then a claim need not wait.
+   */
   private boolean isMine() {
-    return watch.newest().getInstance().equals(holderName());
+    boolean mine = watch.newest().getInstance().startsWith(parts.instance() + HOLDER_SEPARATOR);
+    return mine && parts.clock().steady() >= nextClaimAt;
+  }
+
+  private Predecessor predecessor() {
+    boolean over = watch.newest().getEpoch() == 0 || watch.newest().getReleased() || isMine();
+    return over ? Predecessor.OVER : Predecessor.UNKNOWN;
   }
 
   private String holderName() {
-    return parts.instance() + "/" + incarnation;
+    return parts.instance() + HOLDER_SEPARATOR + incarnation;
   }
 
   private void claim() {
@@ -176,11 +187,10 @@
     }
     long now = parts.clock().steady();
     long timeOfDay = parts.clock().timeOfDay();
-    boolean handedOver = watch.newest().getEpoch() == 0 || watch.newest().getReleased();
-    Scheduler scheduler = new Scheduler(parts.settings(), declaration.get(), handedOver, now);
+    Scheduler scheduler = new Scheduler(parts.settings(), declaration.get(), predecessor(), now);
     state.workers().forEach(scheduler::workerListed);
     state.unlistedWorkers().forEach(scheduler::workerRemembered);
-    for (JobEntry entry : List.copyOf(state.jobs().entries())) {
+    for (JobEntry entry : state.jobs().entriesByAcceptance()) {
       scheduler.jobStored(entry, now, timeOfDay);
     }
     state.waves().forEach(order -> scheduler.waveOrdered(order, progressOf(order)));
--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -80,6 +80,9 @@
   /** Time for which a stopping node still serves open connections. */
   private static final long LINGER_PART = 2;
 
+  /** Time before the end of the grace at which the process ends whatever is under way. */
+  private static final long END_MARGIN_MILLISECONDS = 900;
+
   private final NodeSettings settings;
   private final NodeClock clock = new NodeClock();
   private final NodeMetrics metrics = new NodeMetrics();
@@ -310,8 +313,8 @@
           stopping = true;
           front.beginClosing();
           office.leave();
-          long linger = grace / LINGER_PART;
-          loop.delay(linger, () -> endWhenIdle(ended));
+          loop.delay(grace / LINGER_PART, () -> endWhenIdle(ended));
+          loop.delay(Math.max(1, grace - END_MARGIN_MILLISECONDS), () -> ended.complete(null));
         });
     ended.join();
   }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Job.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Job.java
@@ -31,6 +31,9 @@
   /** True when the record in the store is older than this state. */
   boolean changed;
 
+  /** True when its team handed it in beyond the team's rate. */
+  boolean excess;
+
   /** Latest time of day at which a start would still meet the objective; by the urgency order. */
   long latestStartMilliseconds;
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolLoad.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolLoad.java
@@ -58,6 +58,11 @@
     return waitingTasks;
   }
 
+  /** Returns what the tasks ask for that do not last. */
+  ResourceVector batch() {
+    return running.plus(waiting);
+  }
+
   ResourceVector total() {
     return lasting.plus(running).plus(waiting);
   }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.flamingochute.decision.identity.MachineId;
 import org.flamingochute.decision.identity.PoolId;
@@ -20,8 +21,9 @@
  *
  * <p>A pool whose load exceeds its machines gets the shortage at once: from the standby pool first,
  * then from pools that have more than they need. A pool keeps at least the machines that it had at
- * first. What a pool has above its need for a while goes to the standby pool, where it costs
- * nothing. Only machines on which nothing runs move, so a move never ends a task.
+ * first until it had its turn; between its turns it keeps fewer, and it gets them back before the
+ * next turn is expected. What a pool has above its need for a while goes to the standby pool, where
+ * it costs nothing. Only machines on which nothing runs move, so a move never ends a task.
  */
 final class PoolPlanner {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -35,6 +37,12 @@
   /** Time after which an order without effect is given up. */
   private static final long ORDER_MILLISECONDS = 4_000;
 
+  /** Time before an expected turn at which machines are fetched: a move, and time to be reached. */
+  private static final long LEAD_MILLISECONDS = 2_200;
+
+  /** Machines that a pool keeps between its turns beside those of its lasting tasks. */
+  private static final int RESERVE_MACHINES = 2;
+
   private static final long REPORT_MILLISECONDS = 1_000;
 
   private final WorkerBook workers;
@@ -43,6 +51,7 @@
   private final WaveConductor waves;
   private final Outbox outbox;
   private final Map<MachineId, Move> moves = new LinkedHashMap<>();
+  private final TurnForecast forecast = new TurnForecast();
   private final Map<PoolId, Integer> homes = new HashMap<>();
   private final Map<PoolId, Long> surplusSince = new HashMap<>();
   private long reportedAt = Long.MIN_VALUE / 2;
@@ -83,10 +92,9 @@
     ResourceVector size = typicalCapacity();
     for (Members members : pools.values()) {
       if (!members.pool.standby()) {
-        homes.putIfAbsent(members.pool.id(), members.count);
+        homes.merge(members.pool.id(), members.count, Math::max);
         PoolLoad load = loads.getOrDefault(members.pool.id(), new PoolLoad());
-        int asked = (int) Math.ceil(load.total().dominantPart(size) / PACKING);
-        members.need = Math.max(asked, homes.get(members.pool.id()));
+        members.need = need(members, load, size, now);
       }
     }
     for (Members members : pools.values()) {
@@ -101,6 +109,32 @@
     report(pools, loads, now);
   }
 
+  /**
+   * Returns the machines that a pool needs now. A pool that had its turn and is not due again soon
+   * keeps what its lasting tasks and a small reserve ask for; the others keep their own machines.
+   */
+  private int need(Members members, PoolLoad load, ResourceVector size, long now) {
+    PoolId pool = members.pool.id();
+    int home = homes.get(pool);
+    int asked = machinesFor(load.total(), size);
+    double share = load.batch().dominantPart(size) / Math.max(1, home);
+    forecast.observe(pool, share, asked, now);
+    int resident = machinesFor(load.lasting(), size);
+    if (forecast.isInTurn(pool) || !forecast.hadTurn(pool)) {
+      return Math.max(asked, home);
+    }
+    OptionalLong rise = forecast.nextRise(pool);
+    boolean due = rise.isPresent() && now >= rise.getAsLong() - LEAD_MILLISECONDS;
+    if (due) {
+      return Math.max(asked, Math.max(home, forecast.peakOf(pool)));
+    }
+    return Math.max(asked, Math.min(home, resident + RESERVE_MACHINES));
+  }
+
+  private static int machinesFor(ResourceVector load, ResourceVector size) {
+    return (int) Math.ceil(load.dominantPart(size) / PACKING);
+  }
+
   private void noteEffects(long now) {
     moves
         .entrySet()
--- /dev/null
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Predecessor.java
@@ -0,0 +1,9 @@
+package org.flamingochute.scheduling.core;
+
+/** What a new scheduler knows of the one before. */
+public enum Predecessor {
+  /** There was none, or it gave the office back, or its process has ended. */
+  OVER,
+  /** It may still be running, cut off from the store. */
+  UNKNOWN
+}
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -61,7 +61,9 @@
   private static final int LISTED_ENDS = 500;
 
   private final SchedulerSettings settings;
-  private final long beganAt;
+
+  /** Time from which machines may be moved and maintained. */
+  private final long machineOrdersFrom;
 
   /** Time at which everything that a predecessor may have held certainly ended. */
   private final long foreignLeasesEndAt;
@@ -70,6 +72,7 @@
   private final JobBook jobs = new JobBook();
   private final MachineBook machines = new MachineBook();
   private final TeamUsage usage = new TeamUsage();
+  private final TeamRates rates = new TeamRates();
   private final WorkerHealth health = new WorkerHealth();
   private final Outbox outbox = new Outbox();
   private final TaskLifecycle lifecycle;
@@ -84,16 +87,23 @@
    *
    * @param settings times that it keeps
    * @param declaration what operators declare
-   * @param handedOver true when the predecessor gave the office back, and so renews no lease
+   * @param predecessor what is known of the scheduler before
    * @param beganAt time at which it took office
    */
   public Scheduler(
-      SchedulerSettings settings, FleetDeclaration declaration, boolean handedOver, long beganAt) {
+      SchedulerSettings settings,
+      FleetDeclaration declaration,
+      Predecessor predecessor,
+      long beganAt) {
     this.settings = settings;
     this.declaration = declaration;
-    this.beganAt = beganAt;
     foreignLeasesEndAt =
-        beganAt + (handedOver ? settings.lapseMilliseconds() : settings.foreignLeaseMilliseconds());
+        beganAt
+            + (predecessor == Predecessor.OVER
+                ? settings.lapseMilliseconds()
+                : settings.foreignLeaseMilliseconds());
+    machineOrdersFrom =
+        predecessor == Predecessor.OVER ? beganAt : beganAt + settings.fenceMilliseconds();
     lifecycle = new TaskLifecycle(jobs, usage, health, outbox, settings);
     placement = new Placement(workers, jobs, usage, lifecycle, new WorkerChoice(health));
     evacuation = new Evacuation(lifecycle);
@@ -126,6 +136,8 @@
     JobProgress progress = entry.progress().orElse(JobProgress.getDefaultInstance());
     job.phase = progress.getPhase();
     job.endedMilliseconds = progress.getEndedMilliseconds();
+    job.excess =
+        rates.isExcess(job.team.flatMap(declaration::team), definition.getAcceptedMilliseconds());
     jobs.add(job);
     job.addDueOccurrences(timeOfDay);
     for (TaskProgress task : progress.getTasksList()) {
@@ -506,7 +518,7 @@
     dropForgotten(timeOfDay);
     leaveDrainingWorkers(now);
     uncordon();
-    if (now - beganAt >= settings.fenceMilliseconds()) {
+    if (now >= machineOrdersFrom) {
       waves.advance(now);
       pools.advance(declaration, now, timeOfDay);
     }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/UrgencyOrder.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/UrgencyOrder.java
@@ -23,6 +23,7 @@
     jobs.sort(
         Comparator.comparing((Job job) -> !job.longRunning)
             .thenComparingInt(job -> job.policy.getPriority())
+            .thenComparing((Job job) -> job.excess)
             .thenComparing(job -> job.latestStartMilliseconds < timeOfDay)
             .thenComparing(BY_LATEST_START));
   }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/job/JobTable.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/job/JobTable.java
@@ -1,8 +1,11 @@
 package org.flamingochute.scheduling.job;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.flamingochute.decision.identity.JobId;
@@ -73,6 +76,15 @@
     return Collections.unmodifiableCollection(entries.values());
   }
 
+  /** Returns everything that is known, in the order of acceptance. */
+  public List<JobEntry> entriesByAcceptance() {
+    List<JobEntry> sorted = new ArrayList<>(entries.values());
+    sorted.sort(
+        Comparator.comparingLong(
+            entry -> entry.definition().map(QueuedJob::getAcceptedMilliseconds).orElse(0L)));
+    return sorted;
+  }
+
   /** Forgets everything, before all records are read again. */
   public void clear() {
     entries.clear();
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -13,6 +13,7 @@
 import org.flamingochute.decision.identity.TaskId;
 import org.flamingochute.decision.placement.ResourceVector;
 import org.flamingochute.scheduling.core.MachineOutcome;
+import org.flamingochute.scheduling.core.Predecessor;
 import org.flamingochute.scheduling.core.Scheduler;
 import org.flamingochute.scheduling.core.SchedulerBatch;
 import org.flamingochute.scheduling.core.SchedulerCommand;
@@ -61,7 +62,7 @@
   /** Creates a fleet without workers. */
   public SimulatedFleet(FleetDeclaration declaration) {
     this.declaration = declaration;
-    scheduler = new Scheduler(settings, declaration, true, now);
+    scheduler = new Scheduler(settings, declaration, Predecessor.OVER, now);
   }
 
   /** Puts a new declaration in force. */
@@ -161,7 +162,8 @@
     epoch++;
     unrecorded = Optional.empty();
     acknowledged.clear();
-    scheduler = new Scheduler(settings, declaration, handedOver, now);
+    Predecessor predecessor = handedOver ? Predecessor.OVER : Predecessor.UNKNOWN;
+    scheduler = new Scheduler(settings, declaration, predecessor, now);
     for (SimulatedWorker worker : workers.values()) {
       if (worker.listed) {
         scheduler.workerListed(worker.report());
