--- a/node/src/main/java/org/flamingochute/node/office/SchedulerRunner.java
+++ b/node/src/main/java/org/flamingochute/node/office/SchedulerRunner.java
@@ -181,6 +181,8 @@
     if (stopped || releasing) {
       return;
     }
+    scheduler.allowMachineOrders(
+        writer.silenceMilliseconds() < Scheduler.ORDER_VALIDITY_MILLISECONDS);
     scheduler.decide(clock.steady(), clock.timeOfDay());
     updateSessions();
     scheduler.takeImmediate().forEach(this::carryOut);
@@ -242,6 +244,9 @@
       records.add(
           new KeyedValue(ScheduleKeys.wave(entry.getKey()), entry.getValue().toByteArray()));
     }
+    if (batch.homes().isPresent()) {
+      records.add(new KeyedValue(ScheduleKeys.HOMES, batch.homes().get().toByteArray()));
+    }
     if (records.isEmpty()) {
       SchedulerTenure renewed = tenure.toBuilder().setRenewal(++renewal).build();
       records.add(new KeyedValue(ScheduleKeys.TENURE, renewed.toByteArray()));
--- a/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
+++ b/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
@@ -8,6 +8,9 @@
   /** Key of the scheduler's tenure. */
   public static final String TENURE = "tenure";
 
+  /** Key of the machines' own pools. */
+  public static final String HOMES = "homes";
+
   /** Key of the operators' declaration. */
   public static final String DECLARATION = "config";
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Outbox.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Outbox.java
@@ -5,9 +5,11 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.schema.scheduling.JobProgress;
+import org.flamingochute.schema.scheduling.MachineHomes;
 import org.flamingochute.schema.scheduling.WaveProgress;
 
 /** Collects what the next batch holds. */
@@ -15,6 +17,7 @@
   private final Set<Job> changed = new LinkedHashSet<>();
   private final List<JobId> forgotten = new ArrayList<>();
   private Map<Long, WaveProgress> waves = new LinkedHashMap<>();
+  private Optional<MachineHomes> homes = Optional.empty();
   private List<SchedulerCommand> immediate = new ArrayList<>();
   private List<SchedulerCommand> afterRecording = new ArrayList<>();
 
@@ -30,6 +33,10 @@
     waves.put(wave, progress);
   }
 
+  void homesChanged(MachineHomes newest) {
+    homes = Optional.of(newest);
+  }
+
   void now(SchedulerCommand command) {
     immediate.add(command);
   }
@@ -43,7 +50,8 @@
         && afterRecording.isEmpty()
         && changed.isEmpty()
         && forgotten.isEmpty()
-        && waves.isEmpty();
+        && waves.isEmpty()
+        && homes.isEmpty();
   }
 
   /** Returns the commands that need no record, and forgets them. */
@@ -62,10 +70,12 @@
     final List<JobId> dropped = List.copyOf(forgotten);
     final List<SchedulerCommand> after = afterRecording;
     final Map<Long, WaveProgress> changedWaves = waves;
+    final Optional<MachineHomes> changedHomes = homes;
     changed.clear();
     forgotten.clear();
     afterRecording = new ArrayList<>();
     waves = new LinkedHashMap<>();
-    return new SchedulerBatch(takeImmediate(), records, dropped, changedWaves, after);
+    homes = Optional.empty();
+    return new SchedulerBatch(takeImmediate(), records, dropped, changedWaves, changedHomes, after);
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.flamingochute.decision.identity.MachineId;
 import org.flamingochute.decision.identity.PoolId;
@@ -15,6 +14,7 @@
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.Machine;
 import org.flamingochute.scheduling.fleet.Pool;
+import org.flamingochute.schema.scheduling.MachineHomes;
 
 /**
  * Moves machines between pools as their load rises and falls by turns.
@@ -40,8 +40,8 @@
   /** Time before an expected turn at which machines are fetched: a move, and time to be reached. */
   private static final long LEAD_MILLISECONDS = 2_200;
 
-  /** Machines that a pool keeps between its turns beside those of its lasting tasks. */
-  private static final int RESERVE_MACHINES = 2;
+  /** Machine that a pool keeps between its turns beside those of its lasting tasks. */
+  private static final int RESERVE_MACHINES = 1;
 
   private static final long REPORT_MILLISECONDS = 1_000;
 
@@ -52,7 +52,7 @@
   private final Outbox outbox;
   private final Map<MachineId, Move> moves = new LinkedHashMap<>();
   private final TurnForecast forecast = new TurnForecast();
-  private final Map<PoolId, Integer> homes = new HashMap<>();
+  private final Map<MachineId, PoolId> homes = new HashMap<>();
   private final Map<PoolId, Long> surplusSince = new HashMap<>();
   private long reportedAt = Long.MIN_VALUE / 2;
 
@@ -67,6 +67,37 @@
     this.outbox = outbox;
   }
 
+  /** Takes the homes that an earlier scheduler recorded. */
+  void restore(MachineHomes recorded) {
+    recorded
+        .getPoolsMap()
+        .forEach((machine, pool) -> homes.put(new MachineId(machine), new PoolId(pool)));
+  }
+
+  /** A machine's own pool is the one that it was in at first, before it was ever moved. */
+  private void noteHomes() {
+    boolean changed = false;
+    for (Machine machine : machines.all()) {
+      changed |= homes.putIfAbsent(machine.id(), machine.pool()) == null;
+    }
+    if (changed) {
+      MachineHomes.Builder recorded = MachineHomes.newBuilder();
+      homes.forEach((machine, pool) -> recorded.putPools(machine.value(), pool.value()));
+      outbox.homesChanged(recorded.build());
+    }
+  }
+
+  private int homeCount(PoolId pool) {
+    int count = 0;
+    for (Machine machine : machines.all()) {
+      boolean there = machine.state() != Machine.State.DOWN;
+      if (there && pool.equals(homes.get(machine.id()))) {
+        count++;
+      }
+    }
+    return count;
+  }
+
   /** Machines of one pool. */
   private static final class Members {
     private final Pool pool;
@@ -85,6 +116,7 @@
     if (machines.isEmpty()) {
       return;
     }
+    noteHomes();
     Map<PoolId, PoolLoad> loads = loads(timeOfDay);
     Map<PoolId, Members> pools = members(declaration);
     Optional<Members> standby =
@@ -92,7 +124,6 @@
     ResourceVector size = typicalCapacity();
     for (Members members : pools.values()) {
       if (!members.pool.standby()) {
-        homes.merge(members.pool.id(), members.count, Math::max);
         PoolLoad load = loads.getOrDefault(members.pool.id(), new PoolLoad());
         members.need = need(members, load, size, now);
       }
@@ -115,19 +146,14 @@
    */
   private int need(Members members, PoolLoad load, ResourceVector size, long now) {
     PoolId pool = members.pool.id();
-    int home = homes.get(pool);
+    int home = homeCount(pool);
     int asked = machinesFor(load.total(), size);
     double share = load.batch().dominantPart(size) / Math.max(1, home);
-    forecast.observe(pool, share, asked, now);
-    int resident = machinesFor(load.lasting(), size);
-    if (forecast.isInTurn(pool) || !forecast.hadTurn(pool)) {
+    forecast.observe(pool, share, now);
+    if (forecast.isInTurn(pool) || forecast.isDue(pool, now, LEAD_MILLISECONDS)) {
       return Math.max(asked, home);
     }
-    OptionalLong rise = forecast.nextRise(pool);
-    boolean due = rise.isPresent() && now >= rise.getAsLong() - LEAD_MILLISECONDS;
-    if (due) {
-      return Math.max(asked, Math.max(home, forecast.peakOf(pool)));
-    }
+    int resident = machinesFor(load.lasting(), size);
     return Math.max(asked, Math.min(home, resident + RESERVE_MACHINES));
   }
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -28,6 +28,7 @@
 import org.flamingochute.scheduling.worker.WorkerListing;
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.schema.scheduling.JobProgress;
+import org.flamingochute.schema.scheduling.MachineHomes;
 import org.flamingochute.schema.scheduling.QueuePolicy;
 import org.flamingochute.schema.scheduling.QueuedJob;
 import org.flamingochute.schema.scheduling.TaskProgress;
@@ -44,6 +45,9 @@
  * thread.
  */
 public final class Scheduler {
+  /** Longest time since a successful append at which machines may be moved and maintained. */
+  public static final long ORDER_VALIDITY_MILLISECONDS = 600;
+
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /**
@@ -81,6 +85,7 @@
   private final PoolPlanner pools;
   private final Evacuation evacuation;
   private FleetDeclaration declaration;
+  private boolean machineOrdersAllowed = true;
 
   /**
    * Creates a scheduler without jobs.
@@ -88,12 +93,15 @@
    * @param settings times that it keeps
    * @param declaration what operators declare
    * @param predecessor what is known of the scheduler before
+   * @param heardAt time of the predecessor's last sign; it gives no order for a machine more than
+   *     {@link #ORDER_VALIDITY_MILLISECONDS} after it
    * @param beganAt time at which it took office
    */
   public Scheduler(
       SchedulerSettings settings,
       FleetDeclaration declaration,
       Predecessor predecessor,
+      long heardAt,
       long beganAt) {
     this.settings = settings;
     this.declaration = declaration;
@@ -103,7 +111,9 @@
                 ? settings.lapseMilliseconds()
                 : settings.foreignLeaseMilliseconds());
     machineOrdersFrom =
-        predecessor == Predecessor.OVER ? beganAt : beganAt + settings.fenceMilliseconds();
+        predecessor == Predecessor.OVER
+            ? beganAt
+            : heardAt + ORDER_VALIDITY_MILLISECONDS + settings.fenceMilliseconds();
     lifecycle = new TaskLifecycle(jobs, usage, health, outbox, settings);
     placement = new Placement(workers, jobs, usage, lifecycle, new WorkerChoice(health));
     evacuation = new Evacuation(lifecycle);
@@ -479,6 +489,11 @@
     }
   }
 
+  /** Takes the machines' own pools from an earlier scheduler's record. */
+  public void homesStored(MachineHomes homes) {
+    pools.restore(homes);
+  }
+
   /** Takes the platform's list of machines. */
   public void machinesListed(List<Machine> listed, long askedAt) {
     machines.replace(listed, askedAt);
@@ -510,6 +525,11 @@
         order.task(), order.percent(), carriedOut);
   }
 
+  /** Allows or forbids orders for machines, by the age of the last successful append. */
+  public void allowMachineOrders(boolean allowed) {
+    machineOrdersAllowed = allowed;
+  }
+
   /** Makes every decision that is due. */
   public void decide(long now, long timeOfDay) {
     expire(now);
@@ -518,7 +538,7 @@
     dropForgotten(timeOfDay);
     leaveDrainingWorkers(now);
     uncordon();
-    if (now >= machineOrdersFrom) {
+    if (now >= machineOrdersFrom && machineOrdersAllowed) {
       waves.advance(now);
       pools.advance(declaration, now, timeOfDay);
     }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerBatch.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerBatch.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.schema.scheduling.JobProgress;
+import org.flamingochute.schema.scheduling.MachineHomes;
 import org.flamingochute.schema.scheduling.WaveProgress;
 
 /**
@@ -13,6 +15,7 @@
  * @param records new progress of jobs, to be recorded all or nothing
  * @param forgotten jobs whose records are dropped
  * @param waves new progress of maintenance waves by number
+ * @param homes the machines' own pools, when a machine was seen for the first time
  * @param afterRecording commands that are carried out once the records are durable: a start that
  *     was sent without its record could run twice
  */
@@ -21,6 +24,7 @@
     Map<JobId, JobProgress> records,
     List<JobId> forgotten,
     Map<Long, WaveProgress> waves,
+    Optional<MachineHomes> homes,
     List<SchedulerCommand> afterRecording) {
 
   /** Tells whether the batch holds nothing. */
@@ -30,6 +34,6 @@
 
   /** Tells whether anything has to be recorded. */
   public boolean hasRecords() {
-    return !records.isEmpty() || !forgotten.isEmpty() || !waves.isEmpty();
+    return !records.isEmpty() || !forgotten.isEmpty() || !waves.isEmpty() || homes.isPresent();
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TurnForecast.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TurnForecast.java
@@ -21,13 +21,19 @@
   /** Load below which the next turn may begin. */
   private static final double FALL = 0.25;
 
+  /** A rise that comes earlier than this before its forecast shows that the forecast is wrong. */
+  private static final long EARLY_MILLISECONDS = 3_000;
+
+  /** Time after a forecast at which the turn is regarded as left out. */
+  private static final long LATE_MILLISECONDS = 3_000;
+
   /** Weight of the newest gap in the average. */
   private static final double GAIN = 0.5;
 
   private static final class Turns {
     private boolean inTurn;
     private long roseAt = Long.MIN_VALUE;
-    private int peak;
+    private boolean unreliable;
 
     private boolean hasRisen() {
       return roseAt != Long.MIN_VALUE;
@@ -42,18 +48,16 @@
    * Takes the load of a pool.
    *
    * @param load load as a part of the pool's own machines, without tasks that last
-   * @param machines machines that the load asks for
    */
-  void observe(PoolId pool, double load, int machines, long now) {
+  void observe(PoolId pool, double load, long now) {
     Turns turns = pools.computeIfAbsent(pool, id -> new Turns());
     if (turns.inTurn) {
-      turns.peak = Math.max(turns.peak, machines);
       turns.inTurn = load > FALL;
       return;
     }
     if (load >= RISE) {
       turns.inTurn = true;
-      turns.peak = machines;
+      turns.unreliable |= turns.hasRisen() && !isDue(pool, now, EARLY_MILLISECONDS);
       turns.roseAt = now;
       noteGap(now);
     }
@@ -80,23 +84,32 @@
     return turns != null && turns.hasRisen();
   }
 
-  /** Returns the most machines that the last turn of the pool asked for. */
-  int peakOf(PoolId pool) {
+  /**
+   * Tells whether the pool may rise within the given time. A pool that had no turn yet may rise at
+   * any time, and so may one that rose when it was not due.
+   */
+  boolean isDue(PoolId pool, long now, long withinMilliseconds) {
     Turns turns = pools.get(pool);
-    return turns == null ? 0 : turns.peak;
+    if (turns == null || turns.unreliable || !turns.hasRisen()) {
+      return true;
+    }
+    OptionalLong rise = nextRise(pool);
+    return rise.isPresent()
+        && now >= rise.getAsLong() - withinMilliseconds
+        && now <= rise.getAsLong() + LATE_MILLISECONDS;
   }
 
   /**
    * Returns when the pool's next turn is expected, or nothing when it is not due before others had
-   * their turns, or has no forecast.
+   * their turns.
    */
-  OptionalLong nextRise(PoolId pool) {
+  private OptionalLong nextRise(PoolId pool) {
     Turns own = pools.get(pool);
     if (own == null || !own.hasRisen() || gapMilliseconds == 0) {
       return OptionalLong.empty();
     }
     for (Turns other : pools.values()) {
-      if (other != own && other.hasRisen() && other.roseAt <= own.roseAt) {
+      if (other != own && other.roseAt <= own.roseAt) {
         return OptionalLong.empty();
       }
     }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveConductor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveConductor.java
@@ -53,6 +53,7 @@
     private final Set<MachineId> maintained = new LinkedHashSet<>();
     private final Map<MachineId, Stage> stages = new LinkedHashMap<>();
     private final Map<MachineId, Long> changedAt = new HashMap<>();
+    private final Set<MachineId> unanswered = new LinkedHashSet<>();
     private final Map<MachineId, Long> notBefore = new HashMap<>();
     private boolean completed;
 
@@ -109,7 +110,12 @@
   }
 
   private void advance(Wave wave, long now) {
+    if (machines.isEmpty()) {
+      return;
+    }
+    noteDown(wave, now);
     noteReturned(wave, now);
+    repeatUnanswered(wave, now);
     for (MachineId machine : List.copyOf(wave.stages.keySet())) {
       if (wave.stages.get(machine) == Stage.EMPTYING && isEmptied(machine, now)) {
         takeDown(wave, machine, now);
@@ -122,6 +128,27 @@
     }
   }
 
+  /** A predecessor may have taken machines down. */
+  private void noteDown(Wave wave, long now) {
+    for (MachineId machine : wave.order.machines()) {
+      boolean down =
+          machines.find(machine).map(found -> found.state() == Machine.State.UPKEEP).orElse(false);
+      if (down && !wave.maintained.contains(machine) && !wave.stages.containsKey(machine)) {
+        wave.enter(machine, Stage.DOWN, now);
+      }
+    }
+  }
+
+  /** An order without an answer may still be carried out, so it counts until it is answered. */
+  private void repeatUnanswered(Wave wave, long now) {
+    for (MachineId machine : wave.unanswered) {
+      if (now >= wave.notBefore.getOrDefault(machine, Long.MIN_VALUE)) {
+        wave.notBefore.put(machine, now + RETRY_MILLISECONDS);
+        outbox.now(new SchedulerCommand.MaintainMachine(machine, wave.order.number()));
+      }
+    }
+  }
+
   private void cordon(Wave wave) {
     for (MachineId machine : wave.stages.keySet()) {
       workerOn(machine).ifPresent(worker -> worker.cordoned = true);
@@ -221,7 +248,12 @@
     }
     logger.atInfo().log(
         "event=upkeep_answered wave=%d machine=%s outcome=%s", number, machine, outcome);
+    wave.unanswered.remove(machine);
     switch (outcome) {
+      case UNKNOWN -> {
+        wave.unanswered.add(machine);
+        wave.notBefore.put(machine, now + RETRY_MILLISECONDS);
+      }
       case DONE -> wave.enter(machine, Stage.DOWN, now);
       case IMPOSSIBLE, OTHER_WAVE -> finish(wave, machine);
       default -> {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/leadership/TenureWatch.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/leadership/TenureWatch.java
@@ -61,6 +61,11 @@
     return newest;
   }
 
+  /** Returns when the holder's last sign was read. */
+  public long renewedAt() {
+    return renewedAt;
+  }
+
   /** Tells whether the office may be claimed now. */
   public boolean mayClaim(long now) {
     if (now - readAt > READ_AGE_MILLISECONDS) {
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -62,7 +62,7 @@
   /** Creates a fleet without workers. */
   public SimulatedFleet(FleetDeclaration declaration) {
     this.declaration = declaration;
-    scheduler = new Scheduler(settings, declaration, Predecessor.OVER, now);
+    scheduler = new Scheduler(settings, declaration, Predecessor.OVER, now, now);
   }
 
   /** Puts a new declaration in force. */
@@ -163,7 +163,7 @@
     unrecorded = Optional.empty();
     acknowledged.clear();
     Predecessor predecessor = handedOver ? Predecessor.OVER : Predecessor.UNKNOWN;
-    scheduler = new Scheduler(settings, declaration, predecessor, now);
+    scheduler = new Scheduler(settings, declaration, predecessor, now, now);
     for (SimulatedWorker worker : workers.values()) {
       if (worker.listed) {
         scheduler.workerListed(worker.report());
@@ -257,6 +257,7 @@
                   batch.records(),
                   batch.forgotten(),
                   batch.waves(),
+                  batch.homes(),
                   batch.afterRecording()));
       return;
     }
