--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -40,6 +40,9 @@
   /** Time before an expected turn at which machines are fetched: a move, and time to be reached. */
   private static final long LEAD_MILLISECONDS = 2_200;
 
+  /** Time before an expected turn from which a pool lends no more machines. */
+  private static final long LENDING_MILLISECONDS = 4_000;
+
   /** Machine that a pool keeps between its turns beside those of its lasting tasks. */
   private static final int RESERVE_MACHINES = 1;
 
@@ -105,6 +108,9 @@
     private int count;
     private int need;
 
+    /** Machines below which the pool lends none to a pool that is short of machines. */
+    private int lendingFloor;
+
     private Members(Pool pool) {
       this.pool = pool;
     }
@@ -126,6 +132,7 @@
       if (!members.pool.standby()) {
         PoolLoad load = loads.getOrDefault(members.pool.id(), new PoolLoad());
         members.need = need(members, load, size, now);
+        members.lendingFloor = lendingFloor(members, load, size, now);
       }
     }
     for (Members members : pools.values()) {
@@ -157,6 +164,15 @@
     return Math.max(asked, Math.min(home, resident + RESERVE_MACHINES));
   }
 
+  private int lendingFloor(Members members, PoolLoad load, ResourceVector size, long now) {
+    if (!forecast.mayLend(members.pool.id(), now, LENDING_MILLISECONDS)) {
+      return members.need;
+    }
+    int asked = machinesFor(load.total(), size);
+    int resident = machinesFor(load.lasting(), size);
+    return Math.min(members.need, Math.max(asked, resident + RESERVE_MACHINES));
+  }
+
   private static int machinesFor(ResourceVector load, ResourceVector size) {
     return (int) Math.ceil(load.dominantPart(size) / PACKING);
   }
@@ -242,7 +258,7 @@
     }
     missing = take(standby.map(found -> found.idle).orElse(List.of()), missing, members, now);
     for (Members donor : pools.values()) {
-      int spare = donor.count - donor.need;
+      int spare = donor.count - donor.lendingFloor;
       if (donor != members && !donor.pool.standby() && spare > 0 && missing > 0) {
         int wanted = Math.min(spare, missing);
         int left = take(donor.idle, wanted, members, now);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TurnForecast.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TurnForecast.java
@@ -99,6 +99,20 @@
         && now <= rise.getAsLong() + LATE_MILLISECONDS;
   }
 
+  /**
+   * Tells whether the pool can do without its idle machines for the given time: it is not in its
+   * turn, and no pool is expected to rise within that time. Before a gap between turns is known,
+   * any pool may rise at any time.
+   */
+  boolean mayLend(PoolId pool, long now, long milliseconds) {
+    Turns turns = pools.get(pool);
+    if (turns == null || turns.inTurn || turns.unreliable || gapMilliseconds == 0) {
+      return false;
+    }
+    boolean hadTurn = turns.hasRisen() && nextRise(pool).isEmpty();
+    return hadTurn || now + milliseconds < lastRiseAt + Math.round(gapMilliseconds);
+  }
+
   /**
    * Returns when the pool's next turn is expected, or nothing when it is not due before others had
    * their turns.
