--- a/node/src/main/java/org/flamingochute/node/office/Office.java
+++ b/node/src/main/java/org/flamingochute/node/office/Office.java
@@ -29,7 +29,7 @@
 import org.flamingochute.scheduling.leadership.TenureWatch;
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.schema.scheduling.JobProgress;
-import org.flamingochute.schema.scheduling.MachineHomes;
+import org.flamingochute.schema.scheduling.PoolHistory;
 import org.flamingochute.schema.scheduling.SchedulerTenure;
 import org.flamingochute.schema.scheduling.WaveProgress;
 
@@ -57,7 +57,7 @@
   private final TenureWatch watch;
   private final long incarnation;
   private final Map<Long, WaveProgress> waveProgress = new HashMap<>();
-  private Optional<MachineHomes> homes = Optional.empty();
+  private Optional<PoolHistory> poolHistory = Optional.empty();
   private Optional<StoreFollower> follower = Optional.empty();
   private Optional<SchedulerRunner> runner = Optional.empty();
   private Consumer<Boolean> whenHolding = holding -> {};
@@ -191,7 +191,7 @@
     long timeOfDay = parts.clock().timeOfDay();
     Scheduler scheduler =
         new Scheduler(parts.settings(), declaration.get(), predecessor(), watch.renewedAt(), now);
-    homes.ifPresent(scheduler::homesStored);
+    poolHistory.ifPresent(scheduler::poolHistoryStored);
     state.workers().forEach(scheduler::workerListed);
     state.unlistedWorkers().forEach(scheduler::workerRemembered);
     for (JobEntry entry : state.jobs().entriesByAcceptance()) {
@@ -247,8 +247,8 @@
       waveProgress.put(wave.get(), WaveProgress.parseFrom(record.value()));
       return;
     }
-    if (record.key().equals(ScheduleKeys.HOMES)) {
-      homes = Optional.of(MachineHomes.parseFrom(record.value()));
+    if (record.key().equals(ScheduleKeys.POOL_HISTORY)) {
+      poolHistory = Optional.of(PoolHistory.parseFrom(record.value()));
       return;
     }
     Optional<JobId> job = ScheduleKeys.progressedJobOf(record.key());
--- a/node/src/main/java/org/flamingochute/node/office/SchedulerRunner.java
+++ b/node/src/main/java/org/flamingochute/node/office/SchedulerRunner.java
@@ -244,8 +244,9 @@
       records.add(
           new KeyedValue(ScheduleKeys.wave(entry.getKey()), entry.getValue().toByteArray()));
     }
-    if (batch.homes().isPresent()) {
-      records.add(new KeyedValue(ScheduleKeys.HOMES, batch.homes().get().toByteArray()));
+    if (batch.poolHistory().isPresent()) {
+      records.add(
+          new KeyedValue(ScheduleKeys.POOL_HISTORY, batch.poolHistory().get().toByteArray()));
     }
     if (records.isEmpty()) {
       SchedulerTenure renewed = tenure.toBuilder().setRenewal(++renewal).build();
--- a/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
+++ b/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
@@ -8,8 +8,8 @@
   /** Key of the scheduler's tenure. */
   public static final String TENURE = "tenure";
 
-  /** Key of the machines' own pools. */
-  public static final String HOMES = "homes";
+  /** Key of what the scheduler learnt about pools. */
+  public static final String POOL_HISTORY = "pool-history";
 
   /** Key of the operators' declaration. */
   public static final String DECLARATION = "config";
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Outbox.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Outbox.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.schema.scheduling.JobProgress;
-import org.flamingochute.schema.scheduling.MachineHomes;
+import org.flamingochute.schema.scheduling.PoolHistory;
 import org.flamingochute.schema.scheduling.WaveProgress;
 
 /** Collects what the next batch holds. */
@@ -17,7 +17,7 @@
   private final Set<Job> changed = new LinkedHashSet<>();
   private final List<JobId> forgotten = new ArrayList<>();
   private Map<Long, WaveProgress> waves = new LinkedHashMap<>();
-  private Optional<MachineHomes> homes = Optional.empty();
+  private Optional<PoolHistory> poolHistory = Optional.empty();
   private List<SchedulerCommand> immediate = new ArrayList<>();
   private List<SchedulerCommand> afterRecording = new ArrayList<>();
 
@@ -33,8 +33,8 @@
     waves.put(wave, progress);
   }
 
-  void homesChanged(MachineHomes newest) {
-    homes = Optional.of(newest);
+  void poolHistoryChanged(PoolHistory newest) {
+    poolHistory = Optional.of(newest);
   }
 
   void now(SchedulerCommand command) {
@@ -51,7 +51,7 @@
         && changed.isEmpty()
         && forgotten.isEmpty()
         && waves.isEmpty()
-        && homes.isEmpty();
+        && poolHistory.isEmpty();
   }
 
   /** Returns the commands that need no record, and forgets them. */
@@ -70,12 +70,13 @@
     final List<JobId> dropped = List.copyOf(forgotten);
     final List<SchedulerCommand> after = afterRecording;
     final Map<Long, WaveProgress> changedWaves = waves;
-    final Optional<MachineHomes> changedHomes = homes;
+    final Optional<PoolHistory> changedHistory = poolHistory;
     changed.clear();
     forgotten.clear();
     afterRecording = new ArrayList<>();
     waves = new LinkedHashMap<>();
-    homes = Optional.empty();
-    return new SchedulerBatch(takeImmediate(), records, dropped, changedWaves, changedHomes, after);
+    poolHistory = Optional.empty();
+    return new SchedulerBatch(
+        takeImmediate(), records, dropped, changedWaves, changedHistory, after);
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -14,7 +14,7 @@
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.Machine;
 import org.flamingochute.scheduling.fleet.Pool;
-import org.flamingochute.schema.scheduling.MachineHomes;
+import org.flamingochute.schema.scheduling.PoolHistory;
 
 /**
  * Moves machines between pools as their load rises and falls by turns.
@@ -70,24 +70,28 @@
     this.outbox = outbox;
   }
 
-  /** Takes the homes that an earlier scheduler recorded. */
-  void restore(MachineHomes recorded) {
-    recorded
-        .getPoolsMap()
+  /** Takes what an earlier scheduler learnt. */
+  void restore(PoolHistory history) {
+    history
+        .getMachineHomesMap()
         .forEach((machine, pool) -> homes.put(new MachineId(machine), new PoolId(pool)));
+    forecast.restore(history);
   }
 
   /** A machine's own pool is the one that it was in at first, before it was ever moved. */
-  private void noteHomes() {
+  private boolean noteHomes() {
     boolean changed = false;
     for (Machine machine : machines.all()) {
       changed |= homes.putIfAbsent(machine.id(), machine.pool()) == null;
     }
-    if (changed) {
-      MachineHomes.Builder recorded = MachineHomes.newBuilder();
-      homes.forEach((machine, pool) -> recorded.putPools(machine.value(), pool.value()));
-      outbox.homesChanged(recorded.build());
-    }
+    return changed;
+  }
+
+  private void recordHistory() {
+    PoolHistory.Builder history = PoolHistory.newBuilder();
+    homes.forEach((machine, pool) -> history.putMachineHomes(machine.value(), pool.value()));
+    forecast.record(history);
+    outbox.poolHistoryChanged(history.build());
   }
 
   private int homeCount(PoolId pool) {
@@ -122,7 +126,7 @@
     if (machines.isEmpty()) {
       return;
     }
-    noteHomes();
+    boolean learnt = noteHomes();
     Map<PoolId, PoolLoad> loads = loads(timeOfDay);
     Map<PoolId, Members> pools = members(declaration);
     Optional<Members> standby =
@@ -131,10 +135,15 @@
     for (Members members : pools.values()) {
       if (!members.pool.standby()) {
         PoolLoad load = loads.getOrDefault(members.pool.id(), new PoolLoad());
-        members.need = need(members, load, size, now);
-        members.lendingFloor = lendingFloor(members, load, size, now);
+        double share = load.batch().dominantPart(size) / Math.max(1, homeCount(members.pool.id()));
+        learnt |= forecast.observe(members.pool.id(), share, timeOfDay);
+        members.need = need(members, load, size, timeOfDay);
+        members.lendingFloor = lendingFloor(members, load, size, timeOfDay);
       }
     }
+    if (learnt) {
+      recordHistory();
+    }
     for (Members members : pools.values()) {
       if (!members.pool.standby()) {
         fillShortage(members, pools, standby, now);
@@ -151,21 +160,19 @@
    * Returns the machines that a pool needs now. A pool that had its turn and is not due again soon
    * keeps what its lasting tasks and a small reserve ask for; the others keep their own machines.
    */
-  private int need(Members members, PoolLoad load, ResourceVector size, long now) {
+  private int need(Members members, PoolLoad load, ResourceVector size, long timeOfDay) {
     PoolId pool = members.pool.id();
     int home = homeCount(pool);
     int asked = machinesFor(load.total(), size);
-    double share = load.batch().dominantPart(size) / Math.max(1, home);
-    forecast.observe(pool, share, now);
-    if (forecast.isInTurn(pool) || forecast.isDue(pool, now, LEAD_MILLISECONDS)) {
+    if (forecast.isInTurn(pool) || forecast.isDue(pool, timeOfDay, LEAD_MILLISECONDS)) {
       return Math.max(asked, home);
     }
     int resident = machinesFor(load.lasting(), size);
     return Math.max(asked, Math.min(home, resident + RESERVE_MACHINES));
   }
 
-  private int lendingFloor(Members members, PoolLoad load, ResourceVector size, long now) {
-    if (!forecast.mayLend(members.pool.id(), now, LENDING_MILLISECONDS)) {
+  private int lendingFloor(Members members, PoolLoad load, ResourceVector size, long timeOfDay) {
+    if (!forecast.mayLend(members.pool.id(), timeOfDay, LENDING_MILLISECONDS)) {
       return members.need;
     }
     int asked = machinesFor(load.total(), size);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -28,7 +28,7 @@
 import org.flamingochute.scheduling.worker.WorkerListing;
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.schema.scheduling.JobProgress;
-import org.flamingochute.schema.scheduling.MachineHomes;
+import org.flamingochute.schema.scheduling.PoolHistory;
 import org.flamingochute.schema.scheduling.QueuePolicy;
 import org.flamingochute.schema.scheduling.QueuedJob;
 import org.flamingochute.schema.scheduling.TaskProgress;
@@ -489,9 +489,9 @@
     }
   }
 
-  /** Takes the machines' own pools from an earlier scheduler's record. */
-  public void homesStored(MachineHomes homes) {
-    pools.restore(homes);
+  /** Takes what an earlier scheduler learnt about pools. */
+  public void poolHistoryStored(PoolHistory history) {
+    pools.restore(history);
   }
 
   /** Takes the platform's list of machines. */
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerBatch.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerBatch.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.schema.scheduling.JobProgress;
-import org.flamingochute.schema.scheduling.MachineHomes;
+import org.flamingochute.schema.scheduling.PoolHistory;
 import org.flamingochute.schema.scheduling.WaveProgress;
 
 /**
@@ -15,7 +15,7 @@
  * @param records new progress of jobs, to be recorded all or nothing
  * @param forgotten jobs whose records are dropped
  * @param waves new progress of maintenance waves by number
- * @param homes the machines' own pools, when a machine was seen for the first time
+ * @param poolHistory what was learnt about pools, when it changed
  * @param afterRecording commands that are carried out once the records are durable: a start that
  *     was sent without its record could run twice
  */
@@ -24,7 +24,7 @@
     Map<JobId, JobProgress> records,
     List<JobId> forgotten,
     Map<Long, WaveProgress> waves,
-    Optional<MachineHomes> homes,
+    Optional<PoolHistory> poolHistory,
     List<SchedulerCommand> afterRecording) {
 
   /** Tells whether the batch holds nothing. */
@@ -34,6 +34,9 @@
 
   /** Tells whether anything has to be recorded. */
   public boolean hasRecords() {
-    return !records.isEmpty() || !forgotten.isEmpty() || !waves.isEmpty() || homes.isPresent();
+    return !records.isEmpty()
+        || !forgotten.isEmpty()
+        || !waves.isEmpty()
+        || poolHistory.isPresent();
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TurnForecast.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TurnForecast.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.schema.scheduling.PoolHistory;
 
 /**
  * Forecasts the rises of pools whose load rises and falls by turns.
@@ -27,6 +28,9 @@
   /** Time after a forecast at which the turn is regarded as left out. */
   private static final long LATE_MILLISECONDS = 3_000;
 
+  /** Time after a rise for which no other is expected while the gap between rises is not known. */
+  private static final double UNKNOWN_GAP_MILLISECONDS = 6_000;
+
   /** Weight of the newest gap in the average. */
   private static final double GAIN = 0.5;
 
@@ -48,19 +52,56 @@
    * Takes the load of a pool.
    *
    * @param load load as a part of the pool's own machines, without tasks that last
+   * @param now time of day, so that a successor on another machine can go on from the record
+   * @return true when the pool rises
    */
-  void observe(PoolId pool, double load, long now) {
+  boolean observe(PoolId pool, double load, long now) {
     Turns turns = pools.computeIfAbsent(pool, id -> new Turns());
     if (turns.inTurn) {
       turns.inTurn = load > FALL;
-      return;
+      return false;
     }
-    if (load >= RISE) {
+    boolean rises = load >= RISE;
+    if (rises) {
       turns.inTurn = true;
       turns.unreliable |= turns.hasRisen() && !isDue(pool, now, EARLY_MILLISECONDS);
       turns.roseAt = now;
       noteGap(now);
     }
+    return rises;
+  }
+
+  /** Takes what an earlier scheduler learnt. */
+  void restore(PoolHistory history) {
+    for (Map.Entry<String, Long> rise : history.getRisesMap().entrySet()) {
+      Turns turns = pools.computeIfAbsent(new PoolId(rise.getKey()), id -> new Turns());
+      turns.roseAt = rise.getValue();
+      // A turn may be going on; the first low load ends it.
+      turns.inTurn = true;
+    }
+    for (String pool : history.getUnpredictableList()) {
+      pools.computeIfAbsent(new PoolId(pool), id -> new Turns()).unreliable = true;
+    }
+    if (history.getLastRiseMilliseconds() > 0) {
+      lastRiseAt = history.getLastRiseMilliseconds();
+      gapMilliseconds = history.getGapMilliseconds();
+    }
+  }
+
+  /** Adds what was learnt to a record. */
+  void record(PoolHistory.Builder history) {
+    pools.forEach(
+        (pool, turns) -> {
+          if (turns.hasRisen()) {
+            history.putRises(pool.value(), turns.roseAt);
+          }
+          if (turns.unreliable) {
+            history.addUnpredictable(pool.value());
+          }
+        });
+    if (lastRiseAt != Long.MIN_VALUE) {
+      history.setLastRiseMilliseconds(lastRiseAt).setGapMilliseconds(gapMilliseconds);
+    }
   }
 
   private void noteGap(long now) {
@@ -106,11 +147,12 @@
    */
   boolean mayLend(PoolId pool, long now, long milliseconds) {
     Turns turns = pools.get(pool);
-    if (turns == null || turns.inTurn || turns.unreliable || gapMilliseconds == 0) {
+    if (turns == null || turns.inTurn || turns.unreliable || lastRiseAt == Long.MIN_VALUE) {
       return false;
     }
-    boolean hadTurn = turns.hasRisen() && nextRise(pool).isEmpty();
-    return hadTurn || now + milliseconds < lastRiseAt + Math.round(gapMilliseconds);
+    boolean hadTurn = turns.hasRisen() && gapMilliseconds > 0 && nextRise(pool).isEmpty();
+    double gap = gapMilliseconds == 0 ? UNKNOWN_GAP_MILLISECONDS : gapMilliseconds;
+    return hadTurn || now + milliseconds < lastRiseAt + Math.round(gap);
   }
 
   /**
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -257,7 +257,7 @@
                   batch.records(),
                   batch.forgotten(),
                   batch.waves(),
-                  batch.homes(),
+                  batch.poolHistory(),
                   batch.afterRecording()));
       return;
     }
