Stop runs that make no progress, and place on slow workers last

Cause: workers on which tasks stand still (srv_grey hang) or turn slow kept their tasks until the jobs were late. Two scenarios failed without the watch (stalled-run-moves, slow-worker-comes-last) and pass now.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -83,6 +83,7 @@
   private final Placement placement;
   private final WaveConductor waves;
   private final PoolPlanner pools;
+  private final ProgressWatch progress;
   private final Evacuation evacuation;
   private FleetDeclaration declaration;
   private boolean machineOrdersAllowed = true;
@@ -117,6 +118,7 @@
     lifecycle = new TaskLifecycle(jobs, usage, health, outbox, settings);
     placement = new Placement(workers, jobs, usage, lifecycle, new WorkerChoice(health));
     evacuation = new Evacuation(lifecycle);
+    progress = new ProgressWatch(workers, lifecycle);
     waves = new WaveConductor(workers, machines, evacuation, outbox);
     pools = new PoolPlanner(workers, machines, jobs, waves, outbox);
   }
@@ -151,7 +153,7 @@
     jobs.add(job);
     job.addDueOccurrences(timeOfDay);
     for (TaskProgress task : progress.getTasksList()) {
-      restore(job, task);
+      restore(job, task, now);
     }
     if (!job.isOpen() && !job.hasAssignedTask()) {
       jobs.close(job.id, job.endedMilliseconds + settings.statusRetentionMilliseconds());
@@ -160,7 +162,7 @@
     }
   }
 
-  private void restore(Job job, TaskProgress recorded) {
+  private void restore(Job job, TaskProgress recorded, long now) {
     // The clock of the entry that recorded it may have been ahead of this one's.
     while (job.occurrences.size() <= recorded.getOccurrence()) {
       if (!job.addNextOccurrence()) {
@@ -179,7 +181,7 @@
     task.phase = recorded.getPhase();
     switch (recorded.getPhase()) {
       case DONE -> task.occurrence.taskDone(task.id.step());
-      case ASSIGNED -> lifecycle.inherit(task, workerOf(recorded, job.pool));
+      case ASSIGNED -> lifecycle.inherit(task, workerOf(recorded, job.pool), now);
       default -> task.phase = TaskProgress.Phase.WAITING;
     }
   }
@@ -400,7 +402,14 @@
       task.percent = run.percent();
       task.percentChangedAt = now;
     }
+    task.listedAt = now;
     task.usage = run.usage();
+    if (!task.step.getLongRunning()) {
+      task.worker.ifPresent(
+          worker ->
+              worker.speed.observe(
+                  run.percent(), now - task.assignedAt, task.step.getEstimateMilliseconds()));
+    }
     if (!run.checkpoint().isEmpty()) {
       task.checkpoint = run.checkpoint();
     }
@@ -537,6 +546,7 @@
     addDueOccurrences(timeOfDay);
     dropForgotten(timeOfDay);
     leaveDrainingWorkers(now);
+    progress.advance(now);
     uncordon();
     if (now >= machineOrdersFrom && machineOrdersAllowed) {
       waves.advance(now);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -57,8 +57,15 @@
   /** Earliest time of the next start; a task that failed waits a little. */
   long notBefore;
 
+  /** Time at which the run was assigned. */
+  long assignedAt;
+
   int percent;
   long percentChangedAt;
+
+  /** Time at which the answer with the newest percentage arrived. */
+  long listedAt;
+
   long usage;
   int pacePercent = FULL_PACE;
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -51,8 +51,10 @@
     task.order = Task.Order.RECORDING;
     task.attempt = attempt;
     task.orderedAt = now;
+    task.assignedAt = now;
     task.percent = 0;
     task.percentChangedAt = now;
+    task.listedAt = now;
     task.pacePercent = Task.FULL_PACE;
     place(task, worker);
     outbox.changed(task.job);
@@ -62,7 +64,10 @@
   }
 
   /** Takes over a run that another scheduler recorded. */
-  void inherit(Task task, Worker worker) {
+  void inherit(Task task, Worker worker, long now) {
+    task.assignedAt = now;
+    task.percentChangedAt = now;
+    task.listedAt = now;
     task.order = Task.Order.RUNNING;
     task.orderedAt = Long.MIN_VALUE;
     place(task, worker);
@@ -122,6 +127,19 @@
     outbox.now(new SchedulerCommand.StopTask(task.worker.get().key, task.id, task.attempt));
   }
 
+  /** Stops a run that makes no progress; the task starts elsewhere. */
+  void stopStalled(Task task, long now) {
+    task.worker.ifPresent(
+        worker -> {
+          task.failedOn.add(worker.key.id());
+          health.observe(task.id.job(), worker.key.id(), false, now);
+          logger.atInfo().log(
+              "event=run_stalled task=%s attempt=%d worker=%s percent=%d unchanged_ms=%d",
+              task.id, task.attempt, worker.key, task.percent, now - task.percentChangedAt);
+        });
+    stop(task, now);
+  }
+
   /** Repeats the order to stop, which got no answer. */
   void stopAgain(Task task, long now) {
     task.stopAskedAt = now;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
@@ -28,6 +28,12 @@
   /** True while it gets no new task because its machine is about to go down or to move. */
   boolean cordoned;
 
+  /** How fast its tasks proceed. */
+  final WorkerSpeed speed = new WorkerSpeed();
+
+  /** True when its tasks proceed much slower than those of the pool's other workers. */
+  boolean slow;
+
   /** Time at which everything on it has certainly ended, unless the lease is renewed. */
   long leaseEndsAt;
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerChoice.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerChoice.java
@@ -67,6 +67,7 @@
   private static final double DATA_WEIGHT = 100;
   private static final double FAILED_BEFORE_WEIGHT = 200;
   private static final double INTERFERENCE_WEIGHT = 50;
+  private static final double SLOW_WEIGHT = 150;
 
   private static double score(Task task, Worker worker) {
     double score = worker.used().dominantPart(worker.report.capacity());
@@ -77,6 +78,9 @@
     if (task.failedOn.contains(worker.key.id())) {
       score -= FAILED_BEFORE_WEIGHT;
     }
+    if (worker.slow) {
+      score -= SLOW_WEIGHT;
+    }
     boolean interferes =
         task.step.getFiller() && worker.hasServingTask()
             || task.step.getTailTargetMilliseconds() > 0 && worker.hasFiller();
--- a/scheduling/src/test/java/org/flamingochute/scheduling/scenario/ScenarioPlayer.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/scenario/ScenarioPlayer.java
@@ -130,6 +130,7 @@
       case "draining" -> worker.drain();
       case "fails" -> worker.failEverything();
       case "stalls" -> worker.stall();
+      case "slow" -> worker.slowDown(Long.parseLong(line.word(3)));
       case "loses-answer" -> worker.loseNextStartAnswer();
       case "delays-start" -> worker.delayNextStart(Long.parseLong(line.word(3)));
       default -> throw new IllegalArgumentException("unknown fault in \"" + line + "\"");
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -125,6 +125,11 @@
       worker.stalls = true;
     }
 
+    /** Runs on it take so many times as long. */
+    public void slowDown(long factor) {
+      worker.slowness = factor;
+    }
+
     /** It carries out the next start, but the answer is lost. */
     public void loseNextStartAnswer() {
       worker.losesNextStartAnswer = true;
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWorker.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWorker.java
@@ -30,6 +30,7 @@
   boolean draining;
   boolean failsEverything;
   boolean stalls;
+  long slowness = 1;
   boolean losesNextStartAnswer;
   long delaysNextStart;
   long born;
@@ -149,7 +150,7 @@
         end(run, EndReason.FAILED);
         continue;
       }
-      run.workedMilliseconds += stalls ? 0 : milliseconds;
+      run.workedMilliseconds += stalls ? 0 : milliseconds / slowness;
       if (run.workedMilliseconds >= run.durationMilliseconds) {
         end(run, EndReason.DONE);
       }
