--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -84,6 +84,7 @@
   private final WaveConductor waves;
   private final PoolPlanner pools;
   private final ProgressWatch progress;
+  private final FillerPacer pacer;
   private final Evacuation evacuation;
   private FleetDeclaration declaration;
   private boolean machineOrdersAllowed = true;
@@ -119,6 +120,7 @@
     placement = new Placement(workers, jobs, usage, lifecycle, new WorkerChoice(health));
     evacuation = new Evacuation(lifecycle);
     progress = new ProgressWatch(workers, lifecycle);
+    pacer = new FillerPacer(workers, outbox);
     waves = new WaveConductor(workers, machines, evacuation, outbox);
     pools = new PoolPlanner(workers, machines, jobs, waves, outbox);
   }
@@ -529,6 +531,11 @@
 
   /** Takes a worker's answer to an order to pace a run. */
   public void paceAnswered(SchedulerCommand.PaceTask order, boolean carriedOut, long now) {
+    if (!carriedOut) {
+      // The pacer orders again what is not at the worker's pace.
+      current(order.worker(), order.task(), order.attempt())
+          .ifPresent(task -> task.pacePercent = Task.UNKNOWN_PACE);
+    }
     logger.atInfo().log(
         "event=pace_answered task=%s percent=%d carried_out=%s",
         order.task(), order.percent(), carriedOut);
@@ -547,6 +554,7 @@
     dropForgotten(timeOfDay);
     leaveDrainingWorkers(now);
     progress.advance(now);
+    pacer.advance(now);
     uncordon();
     if (now >= machineOrdersFrom && machineOrdersAllowed) {
       waves.advance(now);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -71,6 +71,9 @@
 
   static final int FULL_PACE = 100;
 
+  /** Pace after an order whose effect is not known. */
+  static final int UNKNOWN_PACE = -1;
+
   Task(TaskId id, Job job, Occurrence occurrence, QueuedStep step) {
     this.id = id;
     this.job = job;
--- /dev/null
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/TeamRatesTest.java
@@ -0,0 +1,48 @@
+package org.flamingochute.scheduling.core;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Optional;
+import java.util.Set;
+import org.flamingochute.decision.identity.TeamId;
+import org.flamingochute.decision.placement.ResourceVector;
+import org.flamingochute.scheduling.fleet.Team;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A team that sends many times its usual rate. */
+class TeamRatesTest {
+  private static final long SECOND = 1_000;
+
+  private final TeamRates rates = new TeamRates();
+
+  private static Optional<Team> team(double weight) {
+    return Optional.of(new Team(new TeamId("t"), Set.of(), weight, ResourceVector.ZERO));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"5, 5, 0", "5, 50, 36", "20, 50, 0", "0, 50, 0"})
+  void onlyWhatExceedsTheRateIsExcess(double weight, int jobsInTwoSeconds, int expected) {
+    int excess = 0;
+    for (int i = 0; i < jobsInTwoSeconds; i++) {
+      long acceptedAt = i * 2 * SECOND / jobsInTwoSeconds;
+      excess += rates.isExcess(team(weight), acceptedAt) ? 1 : 0;
+    }
+    assertThat(excess, is(expected));
+  }
+
+  @Test
+  void teamThatPausesMaySendAgain() {
+    while (!rates.isExcess(team(3), 0)) {
+      // Uses the rate up.
+    }
+    assertThat(rates.isExcess(team(3), 2 * SECOND), is(false));
+  }
+
+  @Test
+  void jobsWithoutTeamAreNeverExcess() {
+    assertThat(rates.isExcess(Optional.empty(), 0), is(false));
+  }
+}
--- /dev/null
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/leadership/TenureWatchTest.java
@@ -0,0 +1,73 @@
+package org.flamingochute.scheduling.leadership;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import org.flamingochute.schema.scheduling.SchedulerTenure;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class TenureWatchTest {
+  private static final long DELAY = 100;
+
+  private final TenureWatch watch = new TenureWatch(DELAY);
+
+  private static SchedulerTenure tenure(long epoch, boolean released) {
+    return SchedulerTenure.newBuilder().setEpoch(epoch).setReleased(released).build();
+  }
+
+  /** Reads every 300 ms until the given time. */
+  private void read(long from, long until) {
+    for (long now = from; now <= until; now += 300) {
+      watch.readSucceeded(now);
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1200, false", "1400, true"})
+  void silentHolderIsSucceeded(long silence, boolean claims) {
+    watch.observe(tenure(1, false), 0);
+    read(0, silence);
+    assertThat(watch.mayClaim(silence), is(claims));
+  }
+
+  @Test
+  void releasedOfficeIsClaimedAfterTheOwnDelay() {
+    watch.observe(tenure(1, true), 0);
+    read(0, 150);
+    assertThat(watch.mayClaim(50), is(false));
+    assertThat(watch.mayClaim(150), is(true));
+  }
+
+  @Test
+  void silenceDoesNotCountWhileTheStoreDoesNotAnswer() {
+    watch.observe(tenure(1, false), 0);
+    read(0, 300);
+    assertThat(watch.mayClaim(5_000), is(false));
+    watch.readSucceeded(5_000);
+    assertThat(watch.mayClaim(5_100), is(false));
+    read(5_000, 6_500);
+    assertThat(watch.mayClaim(6_500), is(true));
+  }
+
+  @Test
+  void everyRecordOfTheHolderRenews() {
+    watch.observe(tenure(1, false), 0);
+    read(0, 1_200);
+    watch.holderWrote(1_250);
+    assertThat(watch.mayClaim(1_400), is(false));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0", "1048577", "5242887"})
+  void epochsRiseAndDifferBetweenCandidates(long previous) {
+    long one = TenureEpoch.next(previous, 11);
+    long other = TenureEpoch.next(previous, 12);
+    assertThat(one, greaterThan(previous));
+    assertThat(one, is(not(other)));
+    assertThat(TenureEpoch.next(one, 12), greaterThan(one));
+  }
+}
