--- a/node/src/main/java/org/flamingochute/node/office/Office.java
+++ b/node/src/main/java/org/flamingochute/node/office/Office.java
@@ -188,7 +188,7 @@
       return;
     }
     long now = parts.clock().steady();
-    long timeOfDay = parts.clock().timeOfDay();
+    final long timeOfDay = parts.clock().timeOfDay();
     Scheduler scheduler =
         new Scheduler(parts.settings(), declaration.get(), predecessor(), watch.renewedAt(), now);
     poolHistory.ifPresent(scheduler::poolHistoryStored);
