--- /dev/null
+++ b/node/src/test/java/org/flamingochute/node/documentation/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the documentation against the sources. */
+package org.flamingochute.node.documentation;
