Call the scheduler's leadership by the field's terms

Cause: office and tenure were names of our own; the field says leader, leadership and term. Log events leadership_* and the store's key leader-term follow.

--- a/node/src/main/java/org/flamingochute/node/FleetState.java
+++ b/node/src/main/java/org/flamingochute/node/FleetState.java
@@ -35,7 +35,7 @@
   /** Workers that are remembered after they were listed no more. */
   private static final int REMEMBERED_WORKERS = 256;
 
-  /** Learns of changes; the scheduler's office listens. */
+  /** Learns of changes; the scheduler's leadership listens. */
   public interface Listener {
     /** A new declaration is in force. */
     void declared(FleetDeclaration declaration);
--- a/node/src/main/java/org/flamingochute/node/office/OfficeContext.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/LeadershipContext.java
@@ -1,9 +1,9 @@
-package org.flamingochute.node.office;
+package org.flamingochute.node.leadership;
 
-/** What a session with a worker needs from the office. */
-interface OfficeContext {
+/** What a session with a worker needs from the leadership. */
+interface LeadershipContext {
 
-  /** Returns the epoch of the tenure, which is the fencing token of all orders. */
+  /** Returns the epoch of the term, which is the fencing token of all orders. */
   long epoch();
 
   /** Returns the lease that renewals ask for, in milliseconds. */
@@ -15,6 +15,6 @@
   /** Something changed that may call for decisions. */
   void changed();
 
-  /** Somebody knows a higher epoch, so the tenure is over. */
+  /** Somebody knows a higher epoch, so the term is over. */
   void fenced(String by);
 }
--- a/node/src/main/java/org/flamingochute/node/office/OfficeParts.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/LeadershipParts.java
@@ -1,4 +1,4 @@
-package org.flamingochute.node.office;
+package org.flamingochute.node.leadership;
 
 import io.activej.eventloop.Eventloop;
 import java.util.Optional;
@@ -10,7 +10,7 @@
 import org.flamingochute.scheduling.job.JobTable;
 
 /**
- * What the office works with.
+ * What the leadership works with.
  *
  * @param loop event loop of all its work
  * @param clock clocks of the process
@@ -20,9 +20,9 @@
  * @param jobs all jobs of the store
  * @param settings times that the scheduler keeps
  * @param instance name of this instance
- * @param claimDelayMilliseconds delay of claims of the office
+ * @param claimDelayMilliseconds delay of claims of the leadership
  */
-public record OfficeParts(
+public record LeadershipParts(
     Eventloop loop,
     NodeClock clock,
     StoreClient store,
--- a/node/src/main/java/org/flamingochute/node/office/Office.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
@@ -1,4 +1,4 @@
-package org.flamingochute.node.office;
+package org.flamingochute.node.leadership;
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -25,23 +25,24 @@
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.WaveOrder;
 import org.flamingochute.scheduling.job.JobEntry;
-import org.flamingochute.scheduling.leadership.TenureEpoch;
-import org.flamingochute.scheduling.leadership.TenureWatch;
+import org.flamingochute.scheduling.leadership.LeaderEpoch;
+import org.flamingochute.scheduling.leadership.LeaderWatch;
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.schema.scheduling.JobProgress;
+import org.flamingochute.schema.scheduling.LeaderTerm;
 import org.flamingochute.schema.scheduling.PoolHistory;
-import org.flamingochute.schema.scheduling.SchedulerTenure;
 import org.flamingochute.schema.scheduling.WaveProgress;
 
 /**
- * The office of the scheduler as this entry sees it: it follows the holder's records, takes over
- * when the holder is silent, and gives the office back when this entry stops.
+ * Decides whether this instance is the leader, which alone schedules: it follows the leader's
+ * records, takes over when the leader is silent, and gives the leadership up when this instance
+ * stops.
  *
- * <p>A claim is one append of a tenure with a higher epoch, on the condition that the topic ends
- * where this entry's knowledge ends. When it succeeds, this entry knows every record of its
+ * <p>A claim is one append of a term with a higher epoch, on the condition that the topic ends
+ * where this instance's knowledge ends. When it succeeds, this instance knows every record of its
  * predecessors, and the store accepts no more of them. Used on one event loop.
  */
-public final class Office implements TopicListener, FleetState.Listener {
+public final class SchedulerLeadership implements TopicListener, FleetState.Listener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private static final long CHECK_MILLISECONDS = 50;
@@ -52,9 +53,9 @@
   /** Time in which the records that made a claim fail are read. */
   private static final long CLAIM_PAUSE_MILLISECONDS = 300;
 
-  private final OfficeParts parts;
+  private final LeadershipParts parts;
   private final FleetState state;
-  private final TenureWatch watch;
+  private final LeaderWatch watch;
   private final long incarnation;
   private final Map<Long, WaveProgress> waveProgress = new HashMap<>();
   private Optional<PoolHistory> poolHistory = Optional.empty();
@@ -67,22 +68,22 @@
   private boolean ready;
 
   /**
-   * Creates the office.
+   * Creates a follower of the leadership.
    *
    * @param incarnation number that tells this process from others of the same instance
    */
-  public Office(OfficeParts parts, FleetState state, long incarnation) {
+  public SchedulerLeadership(LeadershipParts parts, FleetState state, long incarnation) {
     this.parts = parts;
     this.state = state;
     this.incarnation = incarnation;
-    this.watch = new TenureWatch(parts.claimDelayMilliseconds());
+    this.watch = new LeaderWatch(parts.claimDelayMilliseconds());
   }
 
   /**
    * Begins to watch.
    *
    * @param schedule reads the topic of the schedule
-   * @param holding learns whether this entry holds the office
+   * @param holding learns whether this entry leads
    */
   public void start(StoreFollower schedule, Consumer<Boolean> holding) {
     whenHolding = holding;
@@ -100,7 +101,7 @@
     return runner.isPresent();
   }
 
-  /** Gives the office back, and claims it no more. */
+  /** Gives the leadership up, and claims it no more. */
   public void leave() {
     leaving = true;
     runner.ifPresent(SchedulerRunner::release);
@@ -120,8 +121,8 @@
   }
 
   /**
-   * The office may belong to this process, by a claim without an answer, or to an earlier process
-   * of this instance, which has ended. Then a claim need not wait.
+   * The leadership may belong to this process, by a claim without an answer, or to an earlier
+   * process of this instance, which has ended. Then a claim need not wait.
    */
   private boolean isMine() {
     boolean mine = watch.newest().getInstance().startsWith(parts.instance() + HOLDER_SEPARATOR);
@@ -139,47 +140,47 @@
 
   private void claim() {
     claiming = true;
-    SchedulerTenure tenure =
-        SchedulerTenure.newBuilder()
-            .setEpoch(TenureEpoch.next(watch.newest().getEpoch(), holderName().hashCode()))
+    LeaderTerm term =
+        LeaderTerm.newBuilder()
+            .setEpoch(LeaderEpoch.next(watch.newest().getEpoch(), holderName().hashCode()))
             .setInstance(holderName())
             .setRenewal(1)
             .build();
     logger.atInfo().log(
-        "event=office_claim epoch=%d previous=%s end=%d",
-        tenure.getEpoch(), watch.newest().getInstance(), follower.orElseThrow().next());
-    claim(tenure, follower.orElseThrow().next(), CLAIM_TRIES);
+        "event=leadership_claim epoch=%d previous=%s end=%d",
+        term.getEpoch(), watch.newest().getInstance(), follower.orElseThrow().next());
+    claim(term, follower.orElseThrow().next(), CLAIM_TRIES);
   }
 
-  private void claim(SchedulerTenure tenure, long end, int tries) {
+  private void claim(LeaderTerm term, long end, int tries) {
     parts
         .store()
         .append(
             StoreTopic.SCHEDULE,
-            List.of(new KeyedValue(ScheduleKeys.TENURE, tenure.toByteArray())),
-            Optional.of(new ProducerPosition(ScheduleWriter.PRODUCER, tenure.getEpoch(), 0)),
+            List.of(new KeyedValue(ScheduleKeys.LEADER_TERM, term.toByteArray())),
+            Optional.of(new ProducerPosition(ScheduleWriter.PRODUCER, term.getEpoch(), 0)),
             OptionalLong.of(end),
             CLAIM_TIMEOUT_MILLISECONDS)
-        .thenAccept(result -> claimAnswered(result, tenure, end, tries));
+        .thenAccept(result -> claimAnswered(result, term, end, tries));
   }
 
-  private void claimAnswered(StoreAppend result, SchedulerTenure tenure, long end, int tries) {
+  private void claimAnswered(StoreAppend result, LeaderTerm term, long end, int tries) {
     if (result instanceof StoreAppend.Appended) {
       claiming = false;
-      takeOffice(tenure);
+      becomeLeader(term);
       return;
     }
     if (result instanceof StoreAppend.Unknown && tries > 1) {
-      claim(tenure, end, tries - 1);
+      claim(term, end, tries - 1);
       return;
     }
     claiming = false;
     nextClaimAt = parts.clock().steady() + CLAIM_PAUSE_MILLISECONDS;
     logger.atInfo().log(
-        "event=office_claim_failed epoch=%d result=\"%s\"", tenure.getEpoch(), result);
+        "event=leadership_claim_failed epoch=%d result=\"%s\"", term.getEpoch(), result);
   }
 
-  private void takeOffice(SchedulerTenure tenure) {
+  private void becomeLeader(LeaderTerm term) {
     if (leaving) {
       return;
     }
@@ -198,16 +199,16 @@
       scheduler.jobStored(entry, now, timeOfDay);
     }
     state.waves().forEach(order -> scheduler.waveOrdered(order, progressOf(order)));
-    watch.observe(tenure, now);
-    SchedulerRunner started = new SchedulerRunner(parts, tenure, scheduler, this::officeOver);
+    watch.observe(term, now);
+    SchedulerRunner started = new SchedulerRunner(parts, term, scheduler, this::leadershipOver);
     runner = Optional.of(started);
     logger.atInfo().log(
-        "event=office_taken epoch=%d jobs=%d", tenure.getEpoch(), state.jobs().entries().size());
+        "event=leadership_taken epoch=%d jobs=%d", term.getEpoch(), state.jobs().entries().size());
     whenHolding.accept(true);
     started.start();
   }
 
-  private void officeOver() {
+  private void leadershipOver() {
     runner = Optional.empty();
     whenHolding.accept(false);
     follower.orElseThrow().reload();
@@ -235,10 +236,10 @@
   }
 
   private void apply(StoreRecord record, long now) throws InvalidProtocolBufferException {
-    if (record.key().equals(ScheduleKeys.TENURE)) {
-      SchedulerTenure tenure = SchedulerTenure.parseFrom(record.value());
-      watch.observe(tenure, now);
-      loseIfSucceeded(tenure);
+    if (record.key().equals(ScheduleKeys.LEADER_TERM)) {
+      LeaderTerm term = LeaderTerm.parseFrom(record.value());
+      watch.observe(term, now);
+      loseIfSucceeded(term);
       return;
     }
     watch.holderWrote(now);
@@ -263,14 +264,14 @@
     }
   }
 
-  private void loseIfSucceeded(SchedulerTenure tenure) {
+  private void loseIfSucceeded(LeaderTerm term) {
     if (runner.isEmpty()) {
       return;
     }
     boolean other =
-        tenure.getEpoch() == runner.get().epoch() && !tenure.getInstance().equals(holderName());
-    if (other || tenure.getEpoch() > runner.get().epoch()) {
-      runner.get().fenced("tenure of " + tenure.getInstance());
+        term.getEpoch() == runner.get().epoch() && !term.getInstance().equals(holderName());
+    if (other || term.getEpoch() > runner.get().epoch()) {
+      runner.get().fenced("term of " + term.getInstance());
     }
   }
 
--- a/node/src/main/java/org/flamingochute/node/office/SchedulerRunner.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerRunner.java
@@ -1,4 +1,4 @@
-package org.flamingochute.node.office;
+package org.flamingochute.node.leadership;
 
 import com.google.common.flogger.FluentLogger;
 import io.activej.eventloop.Eventloop;
@@ -34,14 +34,14 @@
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.schema.scheduling.JobProgress;
-import org.flamingochute.schema.scheduling.SchedulerTenure;
+import org.flamingochute.schema.scheduling.LeaderTerm;
 import org.flamingochute.schema.scheduling.WaveProgress;
 
 /**
- * Carries out one tenure of the office: lets the scheduler decide after each change, records what
+ * Carries out one term of the leadership: lets the scheduler decide after each change, records what
  * it decided, and sends its orders. Runs on one event loop.
  */
-final class SchedulerRunner implements OfficeContext {
+final class SchedulerRunner implements LeadershipContext {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Changes within this time are decided on together. */
@@ -50,7 +50,7 @@
   /** Longest time between decisions, for what falls due without a change. */
   private static final long TICK_MILLISECONDS = 50;
 
-  /** Time without an append after which the tenure is renewed. */
+  /** Time without an append after which the term is renewed. */
   private static final long RENEWAL_MILLISECONDS = 300;
 
   private static final long MACHINE_LIST_MILLISECONDS = 250;
@@ -67,7 +67,7 @@
   private final SchedulerSettings settings;
   private final Scheduler scheduler;
   private final ScheduleWriter writer;
-  private final SchedulerTenure tenure;
+  private final LeaderTerm term;
   private final Runnable whenOver;
   private final Map<WorkerKey, WorkerSession> sessions = new HashMap<>();
   private boolean decisionPending;
@@ -79,7 +79,7 @@
   private boolean machinesAsked;
   private Optional<ScheduledRunnable> tick = Optional.empty();
 
-  SchedulerRunner(OfficeParts parts, SchedulerTenure tenure, Scheduler scheduler, Runnable over) {
+  SchedulerRunner(LeadershipParts parts, LeaderTerm term, Scheduler scheduler, Runnable over) {
     this.loop = parts.loop();
     this.clock = parts.clock();
     this.store = parts.store();
@@ -87,12 +87,12 @@
     this.machineClient = parts.machineClient();
     this.jobs = parts.jobs();
     this.settings = parts.settings();
-    this.tenure = tenure;
+    this.term = term;
     this.scheduler = scheduler;
     this.whenOver = over;
-    this.renewal = tenure.getRenewal();
+    this.renewal = term.getRenewal();
     this.lastAppendAt = clock.steady();
-    this.writer = new ScheduleWriter(loop, clock, store, tenure.getEpoch(), () -> fenced("store"));
+    this.writer = new ScheduleWriter(loop, clock, store, term.getEpoch(), () -> fenced("store"));
   }
 
   Scheduler scheduler() {
@@ -113,7 +113,7 @@
 
   @Override
   public long epoch() {
-    return tenure.getEpoch();
+    return term.getEpoch();
   }
 
   @Override
@@ -145,7 +145,7 @@
     if (stopped) {
       return;
     }
-    logger.atInfo().log("event=office_lost epoch=%d by=\"%s\"", epoch(), by);
+    logger.atInfo().log("event=leadership_lost epoch=%d by=\"%s\"", epoch(), by);
     end();
     whenOver.run();
   }
@@ -158,7 +158,7 @@
     sessions.clear();
   }
 
-  /** Gives the office back, so that a successor need not wait, and ends. */
+  /** Gives the leadership up, so that a successor need not wait, and ends. */
   void release() {
     releasing = true;
     if (!writer.isBusy()) {
@@ -167,11 +167,11 @@
   }
 
   private void appendRelease() {
-    SchedulerTenure released = tenure.toBuilder().setRenewal(++renewal).setReleased(true).build();
+    LeaderTerm released = term.toBuilder().setRenewal(++renewal).setReleased(true).build();
     writer.append(
-        List.of(new KeyedValue(ScheduleKeys.TENURE, released.toByteArray())),
+        List.of(new KeyedValue(ScheduleKeys.LEADER_TERM, released.toByteArray())),
         () -> {
-          logger.atInfo().log("event=office_released epoch=%d", epoch());
+          logger.atInfo().log("event=leadership_released epoch=%d", epoch());
           end();
           whenOver.run();
         });
@@ -249,8 +249,8 @@
           new KeyedValue(ScheduleKeys.POOL_HISTORY, batch.poolHistory().get().toByteArray()));
     }
     if (records.isEmpty()) {
-      SchedulerTenure renewed = tenure.toBuilder().setRenewal(++renewal).build();
-      records.add(new KeyedValue(ScheduleKeys.TENURE, renewed.toByteArray()));
+      LeaderTerm renewed = term.toBuilder().setRenewal(++renewal).build();
+      records.add(new KeyedValue(ScheduleKeys.LEADER_TERM, renewed.toByteArray()));
     }
     return records;
   }
@@ -318,7 +318,7 @@
     }
     machineClient
         .get()
-        .move(move, tenure.getInstance(), epoch(), MACHINE_TIMEOUT_MILLISECONDS)
+        .move(move, term.getInstance(), epoch(), MACHINE_TIMEOUT_MILLISECONDS)
         .thenAccept(
             outcome -> {
               if (isFenced(outcome)) {
@@ -335,7 +335,7 @@
     }
     machineClient
         .get()
-        .maintain(upkeep, tenure.getInstance(), epoch(), MACHINE_TIMEOUT_MILLISECONDS)
+        .maintain(upkeep, term.getInstance(), epoch(), MACHINE_TIMEOUT_MILLISECONDS)
         .thenAccept(
             outcome -> {
               if (isFenced(outcome)) {
--- a/node/src/main/java/org/flamingochute/node/office/WorkerClock.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerClock.java
@@ -1,4 +1,4 @@
-package org.flamingochute.node.office;
+package org.flamingochute.node.leadership;
 
 /**
  * Estimates a worker's clock from its answers.
--- a/node/src/main/java/org/flamingochute/node/office/WorkerSession.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
@@ -1,4 +1,4 @@
-package org.flamingochute.node.office;
+package org.flamingochute.node.leadership;
 
 import io.activej.eventloop.Eventloop;
 import org.flamingochute.node.NodeClock;
@@ -32,7 +32,7 @@
   private final Eventloop loop;
   private final NodeClock clock;
   private final WorkerClient client;
-  private final OfficeContext office;
+  private final LeadershipContext leadership;
   private final Scheduler scheduler;
   private final WorkerClock workerClock = new WorkerClock();
   private WorkerReport worker;
@@ -46,13 +46,13 @@
       Eventloop loop,
       NodeClock clock,
       WorkerClient client,
-      OfficeContext office,
+      LeadershipContext leadership,
       Scheduler scheduler,
       WorkerReport worker) {
     this.loop = loop;
     this.clock = clock;
     this.client = client;
-    this.office = office;
+    this.leadership = leadership;
     this.scheduler = scheduler;
     this.worker = worker;
   }
@@ -75,7 +75,7 @@
       return;
     }
     waitsForRecording = false;
-    if (!office.mayHold()) {
+    if (!leadership.mayHold()) {
       loop.delay(LONGEST_RETRY_MILLISECONDS, this::renew);
       return;
     }
@@ -91,12 +91,17 @@
     }
     client
         .renew(
-            worker, deadline, office.epoch(), acknowledged, wait, wait + RENEWAL_SLACK_MILLISECONDS)
+            worker,
+            deadline,
+            leadership.epoch(),
+            acknowledged,
+            wait,
+            wait + RENEWAL_SLACK_MILLISECONDS)
         .thenAccept(result -> renewed(result, sentAt));
   }
 
   private long deadline(long now) {
-    return workerClock.isKnown() ? workerClock.at(now) + office.leaseMilliseconds() : 0;
+    return workerClock.isKnown() ? workerClock.at(now) + leadership.leaseMilliseconds() : 0;
   }
 
   private void renewed(LeaseRenewal result, long sentAt) {
@@ -109,18 +114,18 @@
         workerClock.observe(renewed.listing().clockMilliseconds(), clock.steady());
         scheduler.leaseRenewed(
             worker.key(), renewed.listing(), sentAt, clock.steady(), clock.timeOfDay());
-        office.changed();
+        leadership.changed();
         renewAfter(renewed);
       }
-      case LeaseRenewal.Fenced fenced -> office.fenced("worker " + worker.key());
+      case LeaseRenewal.Fenced fenced -> leadership.fenced("worker " + worker.key());
       case LeaseRenewal.Gone gone -> {
         scheduler.renewalFailed(worker.key(), true, "gone");
-        office.changed();
+        leadership.changed();
         retry();
       }
       case LeaseRenewal.Failed failed -> {
         scheduler.renewalFailed(worker.key(), false, failed.detail());
-        office.changed();
+        leadership.changed();
         retry();
       }
     }
@@ -165,33 +170,33 @@
     long now = clock.steady();
     if (!workerClock.isKnown()) {
       scheduler.startAnswered(start, StartOutcome.NOT_RUN, now, clock.timeOfDay());
-      office.changed();
+      leadership.changed();
       return;
     }
     scheduler.leaseSent(worker.key(), now);
     client
-        .start(worker, start, deadline(now), office.epoch(), ORDER_TIMEOUT_MILLISECONDS)
+        .start(worker, start, deadline(now), leadership.epoch(), ORDER_TIMEOUT_MILLISECONDS)
         .thenAccept(outcome -> startAnswered(start, outcome));
   }
 
   private void startAnswered(SchedulerCommand.StartTask start, StartOutcome outcome) {
     if (outcome == StartOutcome.FENCED) {
-      office.fenced("worker " + worker.key());
+      leadership.fenced("worker " + worker.key());
       return;
     }
     scheduler.startAnswered(start, outcome, clock.steady(), clock.timeOfDay());
     if (outcome != StartOutcome.STARTED) {
-      office.changed();
+      leadership.changed();
     }
   }
 
   void stopTask(SchedulerCommand.StopTask stop) {
     client
-        .stop(worker, stop.task(), stop.attempt(), office.epoch(), ORDER_TIMEOUT_MILLISECONDS)
+        .stop(worker, stop.task(), stop.attempt(), leadership.epoch(), ORDER_TIMEOUT_MILLISECONDS)
         .thenAccept(
             outcome -> {
               if (outcome == TaskStop.FENCED) {
-                office.fenced("worker " + worker.key());
+                leadership.fenced("worker " + worker.key());
                 return;
               }
               scheduler.stopAnswered(stop, outcome == TaskStop.STOPPED, clock.steady());
@@ -200,7 +205,7 @@
 
   void paceTask(SchedulerCommand.PaceTask pace) {
     client
-        .pace(worker, pace, office.epoch(), ORDER_TIMEOUT_MILLISECONDS)
+        .pace(worker, pace, leadership.epoch(), ORDER_TIMEOUT_MILLISECONDS)
         .thenAccept(done -> scheduler.paceAnswered(pace, done, clock.steady()));
   }
 }
--- /dev/null
+++ b/node/src/main/java/org/flamingochute/node/leadership/package-info.java
@@ -0,0 +1,2 @@
+/** The leadership of the scheduler: taking it over, and carrying out what the scheduler decides. */
+package org.flamingochute.node.leadership;
--- a/node/src/main/java/org/flamingochute/node/office/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** The office of the scheduler: taking it over, and carrying out what the scheduler decides. */
-package org.flamingochute.node.office;
--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -15,8 +15,8 @@
 import org.flamingochute.node.front.FrontAddresses;
 import org.flamingochute.node.front.FrontParts;
 import org.flamingochute.node.front.JobKnowledge;
-import org.flamingochute.node.office.Office;
-import org.flamingochute.node.office.OfficeParts;
+import org.flamingochute.node.leadership.LeadershipParts;
+import org.flamingochute.node.leadership.SchedulerLeadership;
 import org.flamingochute.node.store.IntakeWriter;
 import org.flamingochute.node.store.StoreFollower;
 import org.flamingochute.platform.http.EventLoopGroup;
@@ -95,7 +95,7 @@
   private final StoreFollower workers;
   private final StoreFollower intake;
   private final StoreFollower schedule;
-  private final Office office;
+  private final SchedulerLeadership leadership;
   private final Front front;
   private boolean stopping;
 
@@ -107,8 +107,8 @@
     workerExchanges = exchanges(WORKER_CONNECTIONS);
     StoreClient store =
         new StoreClient(storeExchanges, addressOf(settings.getStore().getAddress()));
-    OfficeParts parts =
-        new OfficeParts(
+    LeadershipParts parts =
+        new LeadershipParts(
             loop,
             clock,
             store,
@@ -118,8 +118,8 @@
             schedulerSettings(),
             settings.getInstance().getName(),
             claimDelay());
-    office = new Office(parts, state, clock.timeOfDay());
-    state.setListener(Optional.of(office));
+    leadership = new SchedulerLeadership(parts, state, clock.timeOfDay());
+    state.setListener(Optional.of(leadership));
     declarations =
         new StoreFollower(
             loop,
@@ -155,7 +155,7 @@
             StoreTopic.SCHEDULE,
             SCHEDULE_WAIT_MILLISECONDS,
             JOB_PAUSE_MILLISECONDS,
-            office);
+            leadership);
     front =
         new Front(
             new FrontParts(
@@ -253,7 +253,7 @@
     workers.start();
     intake.start();
     schedule.start();
-    office.start(schedule, this::pauseFollowers);
+    leadership.start(schedule, this::pauseFollowers);
     checkStart();
     watchPauses(clock.now());
   }
@@ -272,7 +272,7 @@
             && intake.isLoaded()
             && state.declaration().isPresent();
     if (read) {
-      office.setReady();
+      leadership.setReady();
       logger.atInfo().log(
           "event=ready version=%d jobs=%d",
           state.declaration().get().version(), state.jobs().entries().size());
@@ -302,8 +302,8 @@
   }
 
   /**
-   * Stops gracefully: gives the office back, serves open connections for a while, and returns when
-   * no call is under way.
+   * Stops gracefully: gives the leadership up, serves open connections for a while, and returns
+   * when no call is under way.
    */
   void stop() {
     CompletableFuture<Void> ended = new CompletableFuture<>();
@@ -312,7 +312,7 @@
         () -> {
           stopping = true;
           front.beginClosing();
-          office.leave();
+          leadership.leave();
           loop.delay(grace / LINGER_PART, () -> endWhenIdle(ended));
           loop.delay(Math.max(1, grace - END_MARGIN_MILLISECONDS), () -> ended.complete(null));
         });
--- a/node/src/main/java/org/flamingochute/node/program/NodeCommandLine.java
+++ b/node/src/main/java/org/flamingochute/node/program/NodeCommandLine.java
@@ -33,7 +33,7 @@
   String HELP =
       """
       usage: flamingochute-node [--settings FILE] [--check]
-      Runs one node on an entry instance: takes jobs in, and schedules them when it holds the office.
+      Runs one node on an entry instance: takes jobs in, and schedules them when it leads.
         -s, --settings FILE  settings file in INI form; default: the path in FLAMINGOCHUTE_BOOT
         -c, --check          check the settings and exit with 0 when they are valid, else with 2
         -h, --help           print this help and exit
--- a/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
+++ b/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
@@ -5,8 +5,8 @@
 
 /** Keys of the records in the system's own topics, and of the declarations and reports. */
 public final class ScheduleKeys {
-  /** Key of the scheduler's tenure. */
-  public static final String TENURE = "tenure";
+  /** Key of the scheduler's term. */
+  public static final String LEADER_TERM = "leader-term";
 
   /** Key of what the scheduler learnt about pools. */
   public static final String POOL_HISTORY = "pool-history";
--- a/node/src/main/java/org/flamingochute/node/store/ScheduleWriter.java
+++ b/node/src/main/java/org/flamingochute/node/store/ScheduleWriter.java
@@ -44,7 +44,7 @@
   private Moment lastSuccess;
 
   /**
-   * Creates a writer for a tenure whose first record has sequence number 0.
+   * Creates a writer for a term whose first record has sequence number 0.
    *
    * @param whenFenced runs once when a successor has written
    */
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -97,7 +97,7 @@
    * @param predecessor what is known of the scheduler before
    * @param heardAt time of the predecessor's last sign; it gives no order for a machine more than
    *     {@link #ORDER_VALIDITY_MILLISECONDS} after it
-   * @param beganAt time at which it took office
+   * @param beganAt time at which it became the leader
    */
   public Scheduler(
       SchedulerSettings settings,
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/package-info.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/package-info.java
@@ -1,2 +1,2 @@
-/** The scheduler: which task runs where, decided by the one entry that holds the office. */
+/** The scheduler: which task runs where, decided by the one entry that leads. */
 package org.flamingochute.scheduling.core;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/leadership/TenureEpoch.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/leadership/LeaderEpoch.java
@@ -1,16 +1,16 @@
 package org.flamingochute.scheduling.leadership;
 
 /**
- * Numbers of tenures. Each claim gets a number that is higher than all before it and that differs
+ * Numbers of terms. Each claim gets a number that is higher than all before it and that differs
  * from those of other candidates at the same time: the store answers an append with the epoch and
  * sequence number of an earlier one as a repetition of that one, so two candidates with one number
  * would both believe that they succeeded.
  */
-public final class TenureEpoch {
+public final class LeaderEpoch {
   /** Candidates that numbers tell apart. */
   private static final long CANDIDATES = 1L << 20;
 
-  private TenureEpoch() {}
+  private LeaderEpoch() {}
 
   /**
    * Returns the number of a claim.
@@ -19,7 +19,7 @@
    * @param candidate any number that tells the claiming process from others
    */
   public static long next(long previous, long candidate) {
-    long tenure = previous / CANDIDATES + 1;
-    return tenure * CANDIDATES + Math.floorMod(candidate, CANDIDATES);
+    long term = previous / CANDIDATES + 1;
+    return term * CANDIDATES + Math.floorMod(candidate, CANDIDATES);
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/leadership/TenureWatch.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/leadership/LeaderWatch.java
@@ -1,17 +1,17 @@
 package org.flamingochute.scheduling.leadership;
 
-import org.flamingochute.schema.scheduling.SchedulerTenure;
+import org.flamingochute.schema.scheduling.LeaderTerm;
 
 /**
- * Judges from the records of the store whether the office of the scheduler may be claimed.
+ * Judges from the records of the store whether the leadership of the scheduler may be claimed.
  *
- * <p>The holder renews its tenure more often than the timeout. A candidate counts the time since
- * the last renewal that it read, and only while its reads of the store succeed, so that a candidate
+ * <p>The holder renews its term more often than the timeout. A candidate counts the time since the
+ * last renewal that it read, and only while its reads of the store succeed, so that a candidate
  * that is cut off from the store never regards the holder as silent. A wrong judgement does no
  * harm: a claim is an append on the condition that nothing was appended since the candidate's last
  * read, so a renewal that the candidate has not read makes its claim fail.
  */
-public final class TenureWatch {
+public final class LeaderWatch {
   /** Time without a renewal after which the holder is regarded as lost. */
   public static final long TAKEOVER_MILLISECONDS = 1_200;
 
@@ -19,7 +19,7 @@
   private static final long READ_AGE_MILLISECONDS = 1_200;
 
   private final long claimDelayMilliseconds;
-  private SchedulerTenure newest = SchedulerTenure.getDefaultInstance();
+  private LeaderTerm newest = LeaderTerm.getDefaultInstance();
   private long renewedAt;
   private long readAt = Long.MIN_VALUE / 2;
   private long readsBegan;
@@ -30,20 +30,20 @@
    * @param claimDelayMilliseconds delay of this candidate's claims, different for each candidate so
    *     that one of them usually comes first
    */
-  public TenureWatch(long claimDelayMilliseconds) {
+  public LeaderWatch(long claimDelayMilliseconds) {
     this.claimDelayMilliseconds = claimDelayMilliseconds;
   }
 
-  /** Takes a record of the tenure; older ones than the newest are ignored. */
-  public void observe(SchedulerTenure tenure, long now) {
-    if (tenure.getEpoch() < newest.getEpoch()) {
+  /** Takes a record of the term; older ones than the newest are ignored. */
+  public void observe(LeaderTerm term, long now) {
+    if (term.getEpoch() < newest.getEpoch()) {
       return;
     }
-    newest = tenure;
+    newest = term;
     renewedAt = now;
   }
 
-  /** Notes a record that only the holder of the office can have written. */
+  /** Notes a record that only the holder of the leadership can have written. */
   public void holderWrote(long now) {
     renewedAt = now;
   }
@@ -56,8 +56,8 @@
     readAt = now;
   }
 
-  /** Returns the newest tenure; epoch 0 when there was none. */
-  public SchedulerTenure newest() {
+  /** Returns the newest term; epoch 0 when there was none. */
+  public LeaderTerm newest() {
     return newest;
   }
 
@@ -66,7 +66,7 @@
     return renewedAt;
   }
 
-  /** Tells whether the office may be claimed now. */
+  /** Tells whether the leadership may be claimed now. */
   public boolean mayClaim(long now) {
     if (now - readAt > READ_AGE_MILLISECONDS) {
       return false;
--- a/scheduling/src/test/java/org/flamingochute/scheduling/leadership/TenureWatchTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/leadership/LeaderWatchTest.java
@@ -5,18 +5,18 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
-import org.flamingochute.schema.scheduling.SchedulerTenure;
+import org.flamingochute.schema.scheduling.LeaderTerm;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class TenureWatchTest {
+class LeaderWatchTest {
   private static final long DELAY = 100;
 
-  private final TenureWatch watch = new TenureWatch(DELAY);
+  private final LeaderWatch watch = new LeaderWatch(DELAY);
 
-  private static SchedulerTenure tenure(long epoch, boolean released) {
-    return SchedulerTenure.newBuilder().setEpoch(epoch).setReleased(released).build();
+  private static LeaderTerm term(long epoch, boolean released) {
+    return LeaderTerm.newBuilder().setEpoch(epoch).setReleased(released).build();
   }
 
   /** Reads every 300 ms until the given time. */
@@ -29,14 +29,14 @@
   @ParameterizedTest
   @CsvSource({"1200, false", "1400, true"})
   void silentHolderIsSucceeded(long silence, boolean claims) {
-    watch.observe(tenure(1, false), 0);
+    watch.observe(term(1, false), 0);
     read(0, silence);
     assertThat(watch.mayClaim(silence), is(claims));
   }
 
   @Test
   void releasedOfficeIsClaimedAfterTheOwnDelay() {
-    watch.observe(tenure(1, true), 0);
+    watch.observe(term(1, true), 0);
     read(0, 150);
     assertThat(watch.mayClaim(50), is(false));
     assertThat(watch.mayClaim(150), is(true));
@@ -44,7 +44,7 @@
 
   @Test
   void silenceDoesNotCountWhileTheStoreDoesNotAnswer() {
-    watch.observe(tenure(1, false), 0);
+    watch.observe(term(1, false), 0);
     read(0, 300);
     assertThat(watch.mayClaim(5_000), is(false));
     watch.readSucceeded(5_000);
@@ -55,7 +55,7 @@
 
   @Test
   void everyRecordOfTheHolderRenews() {
-    watch.observe(tenure(1, false), 0);
+    watch.observe(term(1, false), 0);
     read(0, 1_200);
     watch.holderWrote(1_250);
     assertThat(watch.mayClaim(1_400), is(false));
@@ -64,10 +64,10 @@
   @ParameterizedTest
   @CsvSource({"0", "1048577", "5242887"})
   void epochsRiseAndDifferBetweenCandidates(long previous) {
-    long one = TenureEpoch.next(previous, 11);
-    long other = TenureEpoch.next(previous, 12);
+    long one = LeaderEpoch.next(previous, 11);
+    long other = LeaderEpoch.next(previous, 12);
     assertThat(one, greaterThan(previous));
     assertThat(one, is(not(other)));
-    assertThat(TenureEpoch.next(one, 12), greaterThan(one));
+    assertThat(LeaderEpoch.next(one, 12), greaterThan(one));
   }
 }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -162,7 +162,7 @@
     storeDown = down;
   }
 
-  /** Another entry takes the office over, with nothing but the store's records. */
+  /** Another entry takes the leadership over, with nothing but the store's records. */
   public void takeOver(boolean handedOver) {
     epoch++;
     unrecorded = Optional.empty();
