--- a/node/src/main/java/org/flamingochute/node/program/ArchiveTraining.java
+++ b/node/src/main/java/org/flamingochute/node/program/ArchiveTraining.java
@@ -1,12 +1,10 @@
 package org.flamingochute.node.program;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
-import org.flamingochute.platform.wire.DeclarationCodec;
-import org.flamingochute.platform.wire.SubmissionCodec;
+import org.flamingochute.platform.wire.CodecTraining;
 import org.flamingochute.platform.wire.WireException;
 
 /**
@@ -36,9 +34,7 @@
       throws IOException, InterruptedException, WireException {
     Path file = Files.createTempFile("settings", ".ini");
     Files.writeString(file, SETTINGS);
-    DeclarationCodec.read("{\"version\":1}".getBytes(StandardCharsets.UTF_8));
-    SubmissionCodec.read(
-        "{\"spec\":\"a\",\"job_steps\":[{\"count\":1}]}".getBytes(StandardCharsets.UTF_8));
+    CodecTraining.run();
     Thread ending =
         new Thread(
             () -> {
