Stand in for the users' platform over HTTP, with contract and process tests

Change: module platform/standin, in the platform's folder since it speaks its names: store with epochs, sequence numbers, conditions and faults; workers with leases, tokens and unacknowledged ends; machines with moves and maintenance; a ledger of all runs; callers. It shares no codec with the adapter. 25 contract cases meet it through the adapter's clients; 10 cases of NodeProcessTest start the node's program three times over it: kill, stop and termination of the leader, a woken leader, a withdrawn key, keys of an old declaration, a refused job, a lost acknowledgement, a wave. Found: the line event=listening showed port 0 instead of the bound port; the whole suite waited for it and failed (ran 10 min until ended by hand); it logs bound addresses now. Waits of the tests are by the clock since. Ruled out: reuse of the earlier stand-in's servlets, which speak the earlier protocol; its listeners are reused.

--- a/node/src/main/java/org/flamingochute/node/front/Front.java
+++ b/node/src/main/java/org/flamingochute/node/front/Front.java
@@ -78,7 +78,7 @@
     metrics.listen();
     logger.atInfo().log(
         "event=listening callers=%s readiness=%s metrics=%s",
-        callers.getListenAddresses(), readiness.getListenAddresses(), metrics.getListenAddresses());
+        callers.getBoundAddresses(), readiness.getBoundAddresses(), metrics.getBoundAddresses());
   }
 
   /** Asks callers from now on to close their connections after the answer. */
--- a/standin/src/main/java/org/flamingochute/standin/http/HttpListeners.java
+++ b/standin/src/main/java/org/flamingochute/standin/http/HttpListeners.java
@@ -15,7 +15,7 @@
 import org.flamingochute.platform.http.NumericAddress;
 
 /** HTTP servers on a group of event loops. */
-final class HttpListeners implements AutoCloseable {
+public final class HttpListeners implements AutoCloseable {
 
   /** Largest request body in bytes. */
   static final int MAXIMUM_BODY_BYTES = 64 * 1024 * 1024;
@@ -24,12 +24,12 @@
   private final List<HttpServer> servers = new ArrayList<>();
 
   /** Starts the event loops. */
-  HttpListeners(int threads) {
+  public HttpListeners(int threads) {
     group = EventLoopGroup.start("stand-in", threads);
   }
 
   /** Returns the event loops. */
-  EventLoopGroup group() {
+  public EventLoopGroup group() {
     return group;
   }
 
@@ -40,7 +40,7 @@
    * @param servlet creates the servlet for an event loop
    * @return the address with the chosen port
    */
-  synchronized String listen(String address, Function<Eventloop, AsyncServlet> servlet)
+  public synchronized String listen(String address, Function<Eventloop, AsyncServlet> servlet)
       throws StandInException {
     Optional<NumericAddress> wanted = NumericAddress.parse(address);
     if (wanted.isEmpty()) {
--- a/standin/src/main/java/org/flamingochute/standin/http/PortFile.java
+++ b/standin/src/main/java/org/flamingochute/standin/http/PortFile.java
@@ -8,7 +8,7 @@
 import org.flamingochute.decision.error.ErrorReport;
 
 /** Writes the address that a process listens on to a file, whole or not at all. */
-final class PortFile {
+public final class PortFile {
 
   private PortFile() {}
 
@@ -17,7 +17,7 @@
    *
    * @param file path of the file; empty for none
    */
-  static void write(String file, String address) throws StandInException {
+  public static void write(String file, String address) throws StandInException {
     if (file.isEmpty()) {
       return;
     }
--- /dev/null
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeCluster.java
@@ -0,0 +1,240 @@
+package org.flamingochute.testsuite.node;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.flamingochute.node.program.NodeMain;
+import org.flamingochute.platform.standin.FleetSettings;
+import org.flamingochute.platform.standin.PlatformServer;
+import org.flamingochute.platform.standin.WorkPayload;
+import org.flamingochute.platform.standin.caller.CallResult;
+import org.flamingochute.platform.standin.caller.NodeCaller;
+import org.flamingochute.platform.standin.caller.QueueAddress;
+import org.flamingochute.testsuite.process.ChildProcesses;
+
+/** Nodes as processes of their own over the platform stand-in, which runs in the test. */
+final class NodeCluster implements AutoCloseable {
+  static final QueueAddress QUEUE = new QueueAddress("/orders/");
+  static final String KEY = "clubs-key";
+  static final String OTHER_KEY = "shops-key";
+
+  private static final long PATIENCE_SECONDS = 25;
+  private static final long PATIENCE_NANOSECONDS = PATIENCE_SECONDS * 1_000_000_000;
+  private static final long POLL_MILLISECONDS = 20;
+  private static final Pattern LISTENING =
+      Pattern.compile("event=listening callers=\\[/([0-9.]+:[1-9]\\d*)\\]");
+
+  private final PlatformServer platform;
+  private final ChildProcesses processes;
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final NodeCaller caller = new NodeCaller();
+  private final List<String> addresses = new ArrayList<>();
+
+  /** Starts a platform with two pools, declares the first version, and starts nodes. */
+  NodeCluster(Path folder, int nodes) throws Exception {
+    platform =
+        PlatformServer.start(
+            FleetSettings.of(
+                List.of(
+                    new FleetSettings.PoolSize("workshop", 4),
+                    new FleetSettings.PoolSize("reserve", 1))),
+            "127.0.0.1:0");
+    processes = new ChildProcesses(folder);
+    declare(1, KEY, OTHER_KEY);
+    for (int i = 0; i < nodes; i++) {
+      startNode(i);
+    }
+    for (int i = 0; i < nodes; i++) {
+      addresses.add(addressOf(i));
+    }
+  }
+
+  private void startNode(int number) throws IOException {
+    String settings =
+        processes.write(
+            nameOf(number) + ".ini",
+            """
+            [instance]
+            name = %s
+            data_centre = dc-%d
+            front_address = 127.0.0.1:0
+            ready_address = 127.0.0.1:0
+            metrics_address = 127.0.0.1:0
+            processor_share = 1
+            [store]
+            address = %s
+            [fleet_services]
+            machines_address = %s
+            heartbeat_milliseconds = 500
+            operations_per_second = 50
+            [bounds]
+            maximum_lease_milliseconds = 10000
+            key_revocation_milliseconds = 5000
+            shutdown_grace_seconds = 6
+            status_retention_seconds = 120
+            machine_fence_milliseconds = 3000
+            move_seconds = 0.5
+            maintenance_seconds = 0.5
+            """
+                .formatted(nameOf(number), number, platform.address(), platform.address()));
+    processes.start(nameOf(number), NodeMain.class.getName(), List.of("--settings", settings));
+  }
+
+  static String nameOf(int number) {
+    return "node-" + number;
+  }
+
+  /** Writes a declaration with one queue, and a team for each key. */
+  void declare(long version, String... keys) throws Exception {
+    StringBuilder teams = new StringBuilder();
+    for (String key : keys) {
+      teams.append(teams.isEmpty() ? "" : ",");
+      teams.append(
+          "{\"name\":\"team-%s\",\"api_keys\":[\"%s\"],\"weight\":10}".formatted(key, key));
+    }
+    post(
+        "/operator/declare?key=config",
+        """
+        {"version":%d,"routes":[{"name":"orders","host":"127.0.0.1","path_prefix":"%s",
+        "service":"workshop","max_attempts":3,"slack_factor":2.0,"slo_ms":1000,"timeout_ms":3000}],
+        "services":[{"name":"workshop","enforces_capacity":true},
+        {"name":"reserve","enforces_capacity":true,"standby":true}],
+        "limits":{"max_body_bytes":65536},"tenants":[%s]}
+        """
+            .formatted(version, QUEUE.pathPrefix(), teams));
+  }
+
+  /** Sends a request to the stand-in itself. */
+  String post(String path, String body) throws Exception {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + platform.address() + path))
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    return http.send(request, HttpResponse.BodyHandlers.ofString()).body();
+  }
+
+  /** Returns what the stand-in answers to a read. */
+  String get(String path) throws Exception {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + platform.address() + path)).build();
+    return http.send(request, HttpResponse.BodyHandlers.ofString()).body();
+  }
+
+  private String addressOf(int number) throws Exception {
+    return waitForText(
+        number,
+        text -> {
+          Matcher matcher = LISTENING.matcher(text);
+          return matcher.find() ? Optional.of(matcher.group(1)) : Optional.empty();
+        });
+  }
+
+  /** Waits until a node's log has a line with a text. */
+  void waitForLine(int number, String line) throws Exception {
+    waitForText(number, text -> text.contains(line) ? Optional.of(line) : Optional.empty());
+  }
+
+  /** Looks something up in a log. */
+  @FunctionalInterface
+  private interface LogLookup {
+    Optional<String> find(String text);
+  }
+
+  private String waitForText(int number, LogLookup lookup) throws Exception {
+    Path log = processes.path(nameOf(number) + ".log");
+    long end = System.nanoTime() + PATIENCE_NANOSECONDS;
+    while (System.nanoTime() < end) {
+      Optional<String> found = lookup.find(Files.exists(log) ? Files.readString(log) : "");
+      if (found.isPresent()) {
+        return found.get();
+      }
+      Thread.sleep(POLL_MILLISECONDS);
+    }
+    throw new IllegalStateException(log + " does not tell what is waited for");
+  }
+
+  String log(int number) throws IOException {
+    return Files.readString(processes.path(nameOf(number) + ".log"));
+  }
+
+  /** Waits until a node leads that is not excluded, and returns its number. */
+  int waitForLeader(int excluded) throws Exception {
+    long end = System.nanoTime() + PATIENCE_NANOSECONDS;
+    while (System.nanoTime() < end) {
+      for (int i = 0; i < addresses.size(); i++) {
+        if (i != excluded && log(i).contains("event=leadership_taken")) {
+          return i;
+        }
+      }
+      Thread.sleep(POLL_MILLISECONDS);
+    }
+    throw new IllegalStateException("no node leads");
+  }
+
+  void signal(int number, String signal) throws Exception {
+    processes.signal(nameOf(number), signal);
+  }
+
+  int waitForExit(int number) throws Exception {
+    return processes.waitFor(nameOf(number), PATIENCE_SECONDS);
+  }
+
+  CallResult submit(int number, String key, String job, WorkPayload payload, int tasks) {
+    String body =
+        "{\"spec\":\"%s\",\"job_steps\":[{\"count\":%d,\"cpu\":%d,\"mem_mb\":64,\"estimate_ms\":100}]}"
+            .formatted(payload.text(), tasks, payload.processorMillicores());
+    return caller.call(addresses.get(number), QUEUE, key, "POST", job, body);
+  }
+
+  /** Hands a job in until it is accepted. */
+  void submitUntilAccepted(int number, String key, String job, WorkPayload payload, int tasks)
+      throws Exception {
+    long end = System.nanoTime() + PATIENCE_NANOSECONDS;
+    while (System.nanoTime() < end) {
+      if (statusOf(submit(number, key, job, payload, tasks)) == 200) {
+        return;
+      }
+      Thread.sleep(POLL_MILLISECONDS);
+    }
+    throw new IllegalStateException("job " + job + " was not accepted");
+  }
+
+  CallResult call(int number, String key, String method, String job) {
+    return caller.call(addresses.get(number), QUEUE, key, method, job, "");
+  }
+
+  static int statusOf(CallResult result) {
+    return result instanceof CallResult.Answered answered ? answered.status() : 0;
+  }
+
+  /** Asks a node for a job until it is in a state. */
+  void waitForState(int number, String job, String state) throws Exception {
+    String seen = "";
+    long end = System.nanoTime() + PATIENCE_NANOSECONDS;
+    while (System.nanoTime() < end) {
+      if (call(number, KEY, "GET", job) instanceof CallResult.Answered answered) {
+        seen = answered.body();
+        if (seen.contains("\"" + state + "\"")) {
+          return;
+        }
+      }
+      Thread.sleep(POLL_MILLISECONDS);
+    }
+    throw new IllegalStateException("job " + job + " is not " + state + ": " + seen);
+  }
+
+  @Override
+  public void close() {
+    processes.close();
+    platform.close();
+  }
+}
--- a/testsuite/src/test/java/org/flamingochute/testsuite/process/ChildProcesses.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/process/ChildProcesses.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Starts Java processes of the programs under test, sends them signals, and ends them all. */
-final class ChildProcesses implements AutoCloseable {
+public final class ChildProcesses implements AutoCloseable {
 
   private static final long START_MILLISECONDS = 60_000;
   private static final long POLL_MILLISECONDS = 50;
@@ -19,12 +19,13 @@
   private final Path folder;
   private final Map<String, Process> processes = new TreeMap<>();
 
-  ChildProcesses(Path folder) {
+  /** Creates a set of processes whose files are in a folder. */
+  public ChildProcesses(Path folder) {
     this.folder = folder;
   }
 
   /** Starts a program; its output goes to a file with its name. */
-  Process start(String name, String mainClass, List<String> arguments) throws IOException {
+  public Process start(String name, String mainClass, List<String> arguments) throws IOException {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(List.of("-Xmx256m", "-XX:TieredStopAtLevel=1", "-cp"));
@@ -40,17 +41,17 @@
   }
 
   /** Writes a file into the folder and returns its path. */
-  String write(String name, String text) throws IOException {
+  public String write(String name, String text) throws IOException {
     return Files.writeString(folder.resolve(name), text).toString();
   }
 
   /** Returns the path of a file in the folder. */
-  Path path(String name) {
+  public Path path(String name) {
     return folder.resolve(name);
   }
 
   /** Waits for a port file and returns the address under a name in it. */
-  String address(String portFile, String name) throws IOException, InterruptedException {
+  public String address(String portFile, String name) throws IOException, InterruptedException {
     Path file = folder.resolve(portFile);
     for (long waited = 0; waited < START_MILLISECONDS; waited += POLL_MILLISECONDS) {
       if (Files.exists(file)) {
@@ -66,13 +67,13 @@
   }
 
   /** Sends a signal to a process that was started here. */
-  void signal(String name, String signal) throws IOException, InterruptedException {
+  public void signal(String name, String signal) throws IOException, InterruptedException {
     long pid = processes.get(name).pid();
     new ProcessBuilder("kill", "-" + signal, String.valueOf(pid)).start().waitFor();
   }
 
   /** Waits for a process to end and returns its exit code. */
-  int waitFor(String name, long seconds) throws InterruptedException {
+  public int waitFor(String name, long seconds) throws InterruptedException {
     Process process = processes.get(name);
     if (!process.waitFor(seconds, TimeUnit.SECONDS)) {
       throw new IllegalStateException(name + " has not ended after " + seconds + " s");
