Let large instances claim the leadership first

Cause: on the grown sites 34 of 40 entries have 0.36 cores and a link of 10 Mbit/s; who led was left to a hash of the name. Change: a candidate's claim waits up to 1.5 s longer the smaller it is; two settings say its speed and its link. Ruled out: a handover from a small leader to a large one (needs a message between them); not built. ClaimDelayTest holds the order.

--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -29,7 +29,9 @@
 import org.flamingochute.platform.wire.StoreTopic;
 import org.flamingochute.platform.wire.WorkerClient;
 import org.flamingochute.scheduling.core.SchedulerSettings;
+import org.flamingochute.scheduling.leadership.ClaimDelay;
 import org.flamingochute.schema.BoundSection;
+import org.flamingochute.schema.InstancePlaceSection;
 import org.flamingochute.schema.NodeSettings;
 
 /** One running node: all its parts on one event loop. */
@@ -70,9 +72,6 @@
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
   private static final int ANSWER_BYTES = 16 << 20;
 
-  /** Claims of different instances are spread over this time. */
-  private static final int CLAIM_SPREAD_MILLISECONDS = 300;
-
   private static final long START_CHECK_MILLISECONDS = 10;
   private static final long PAUSE_CHECK_MILLISECONDS = 200;
   private static final long PAUSE_REPORT_MILLISECONDS = 700;
@@ -207,8 +206,9 @@
   }
 
   private long claimDelay() {
-    int hash = settings.getInstance().getName().hashCode();
-    return Math.floorMod(hash, CLAIM_SPREAD_MILLISECONDS);
+    InstancePlaceSection instance = settings.getInstance();
+    double cores = instance.getProcessorShare() * instance.getProcessorSpeed();
+    return ClaimDelay.of(instance.getName(), cores, instance.getLinkMegabits());
   }
 
   private FrontAddresses frontAddresses() {
--- /dev/null
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/leadership/ClaimDelayTest.java
@@ -0,0 +1,37 @@
+package org.flamingochute.scheduling.leadership;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ClaimDelayTest {
+
+  @ParameterizedTest
+  @CsvSource({"0.36,1000", "1.5,10", "0.36,10", "0,0"})
+  void smallInstanceComesAfterEveryLargeOne(double cores, double linkMegabits) {
+    for (String large : new String[] {"a", "edge-7", "node-with-another-name"}) {
+      for (String small : new String[] {"b", "edge-8", "node-of-some-name"}) {
+        assertThat(
+            ClaimDelay.of(small, cores, linkMegabits),
+            greaterThan(ClaimDelay.of(large, 0.75, 1_000)));
+      }
+    }
+  }
+
+  @Test
+  void smallerInstanceComesLater() {
+    assertThat(ClaimDelay.of("a", 0.2, 1_000), greaterThan(ClaimDelay.of("a", 0.3, 1_000)));
+  }
+
+  @Test
+  void equalInstancesAreSpread() {
+    long first = ClaimDelay.of("edge-1", 1, 1_000);
+    assertThat(first, lessThan(300L));
+    assertThat(first == ClaimDelay.of("edge-2", 1, 1_000), is(false));
+  }
+}
