Lend half of the idle machines of pools whose turns are not known

Pools that had no turn yet, and those that once rose when they were not due, lend nothing from 2 s after a rise on. Change: they help a pool whose load exceeds its machines with half of what they can spare; load that waits is served before machines that are kept for a load that may come. Machines and moves are part of the simulated fleet now; scenario pool-without-known-turns-lends-half failed before (2 machines in p, not 4) and passes after. Ruled out: lending all (the lender rises next, and a move back takes 1.5 s and the end of the tasks there).

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -112,9 +113,15 @@
     private int count;
     private int need;
 
-    /** Machines below which the pool lends none to a pool that is short of machines. */
+    /** Machines that the present load asks for. */
+    private int asked;
+
+    /** Machines below which the pool lends none to a pool that keeps too few. */
     private int lendingFloor;
 
+    /** Machines below which the pool lends none to a pool whose load exceeds its machines. */
+    private int helpingFloor;
+
     private Members(Pool pool) {
       this.pool = pool;
     }
@@ -137,14 +144,15 @@
         PoolLoad load = loads.getOrDefault(members.pool.id(), new PoolLoad());
         double share = load.batch().dominantPart(size) / Math.max(1, homeCount(members.pool.id()));
         learnt |= forecast.observe(members.pool.id(), share, timeOfDay);
+        members.asked = machinesFor(load.total(), size);
         members.need = need(members, load, size, timeOfDay);
-        members.lendingFloor = lendingFloor(members, load, size, timeOfDay);
+        setLendingFloors(members, load, size, timeOfDay);
       }
     }
     if (learnt) {
       recordHistory();
     }
-    for (Members members : pools.values()) {
+    for (Members members : byShortage(pools)) {
       if (!members.pool.standby()) {
         fillShortage(members, pools, standby, now);
       }
@@ -156,6 +164,13 @@
     report(pools, loads, now);
   }
 
+  /** Load that waits goes before machines that are kept for a load that may come. */
+  private static List<Members> byShortage(Map<PoolId, Members> pools) {
+    List<Members> sorted = new ArrayList<>(pools.values());
+    sorted.sort(Comparator.comparingInt((Members members) -> members.count - members.asked));
+    return sorted;
+  }
+
   /**
    * Returns the machines that a pool needs now. A pool that had its turn and is not due again soon
    * keeps what its lasting tasks and a small reserve ask for; the others keep their own machines.
@@ -163,21 +178,28 @@
   private int need(Members members, PoolLoad load, ResourceVector size, long timeOfDay) {
     PoolId pool = members.pool.id();
     int home = homeCount(pool);
-    int asked = machinesFor(load.total(), size);
     if (forecast.isInTurn(pool) || forecast.isDue(pool, timeOfDay, LEAD_MILLISECONDS)) {
-      return Math.max(asked, home);
+      return Math.max(members.asked, home);
     }
     int resident = machinesFor(load.lasting(), size);
-    return Math.max(asked, Math.min(home, resident + RESERVE_MACHINES));
+    return Math.max(members.asked, Math.min(home, resident + RESERVE_MACHINES));
   }
 
-  private int lendingFloor(Members members, PoolLoad load, ResourceVector size, long timeOfDay) {
-    if (!forecast.mayLend(members.pool.id(), timeOfDay, LENDING_MILLISECONDS)) {
-      return members.need;
-    }
-    int asked = machinesFor(load.total(), size);
+  /**
+   * A pool that is not due lends all but its reserve. One whose turns are not known may rise at any
+   * moment, but a load that waits elsewhere is certain, so it helps with half of what it can spare.
+   */
+  private void setLendingFloors(
+      Members members, PoolLoad load, ResourceVector size, long timeOfDay) {
+    PoolId pool = members.pool.id();
     int resident = machinesFor(load.lasting(), size);
-    return Math.min(members.need, Math.max(asked, resident + RESERVE_MACHINES));
+    int lowest = Math.min(members.need, Math.max(members.asked, resident + RESERVE_MACHINES));
+    boolean lends = forecast.mayLend(pool, timeOfDay, LENDING_MILLISECONDS);
+    members.lendingFloor = lends ? lowest : members.need;
+    members.helpingFloor =
+        forecast.isUnknown(pool)
+            ? Math.min(members.lendingFloor, (members.need + lowest + 1) / 2)
+            : members.lendingFloor;
   }
 
   private static int machinesFor(ResourceVector load, ResourceVector size) {
@@ -265,14 +287,23 @@
     }
     missing = take(standby.map(found -> found.idle).orElse(List.of()), missing, members, now);
     for (Members donor : pools.values()) {
-      int spare = donor.count - donor.lendingFloor;
-      if (donor != members && !donor.pool.standby() && spare > 0 && missing > 0) {
-        int wanted = Math.min(spare, missing);
-        int left = take(donor.idle, wanted, members, now);
-        donor.count -= wanted - left;
-        missing -= wanted - left;
-      }
+      missing -= lend(donor, donor.lendingFloor, members, missing, now);
+    }
+    int overload = members.asked - members.count;
+    for (Members donor : pools.values()) {
+      overload -= lend(donor, donor.helpingFloor, members, overload, now);
+    }
+  }
+
+  /** Moves up to the wanted number of a pool's machines above a floor; returns how many. */
+  private int lend(Members donor, int floor, Members target, int wanted, long now) {
+    int lent = Math.min(donor.count - floor, wanted);
+    if (donor == target || donor.pool.standby() || lent <= 0) {
+      return 0;
     }
+    int left = take(donor.idle, lent, target, now);
+    donor.count -= lent - left;
+    return lent - left;
   }
 
   /** Moves up to the wanted number of machines; returns how many are still wanted. */
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TurnForecast.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TurnForecast.java
@@ -119,6 +119,12 @@
     return turns != null && turns.inTurn;
   }
 
+  /** Tells whether nothing is known of the pool's next turn, and it is not in one. */
+  boolean isUnknown(PoolId pool) {
+    Turns turns = pools.get(pool);
+    return turns == null || !turns.inTurn && (turns.unreliable || !turns.hasRisen());
+  }
+
   /** Tells whether the pool had a turn. */
   boolean hadTurn(PoolId pool) {
     Turns turns = pools.get(pool);
--- a/scheduling/src/test/java/org/flamingochute/scheduling/scenario/ScenarioPlayer.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/scenario/ScenarioPlayer.java
@@ -32,6 +32,8 @@
       case "queue" -> declareQueue(line);
       case "team" -> declareTeam(line);
       case "worker" -> fleet().addWorker(line.word(1), pool(line), capacity(line), labels(line));
+      case "machine" -> fleet().addMachine(line.word(1), pool(line), capacity(line));
+      case "pool" -> declared.pool(new Pool(new PoolId(line.word(1)), true, true));
       case "submit" -> submit(line);
       case "cancel" -> fleet().cancel(new JobId(line.word(1)));
       case "advance" -> fleet().advance(Long.parseLong(line.word(1)));
@@ -146,6 +148,8 @@
       case "starts-at-most" ->
           assertThat(reason, fleet().startsOf(task(line)), lessThanOrEqualTo(count(line, 3)));
       case "on" -> assertThat(reason, fleet().lastWorkerOf(task(line)), is(line.word(3)));
+      case "machines-in" ->
+          assertThat(reason, fleet().machinesIn(new PoolId(line.word(2))), is(count(line, 3)));
       case "running" -> assertThat(reason, fleet().running(), is(count(line, 2)));
       case "running-on" -> assertThat(reason, fleet().runningOn(line.word(2)), is(count(line, 3)));
       default -> throw new IllegalArgumentException("unknown expectation \"" + line + "\"");
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -38,9 +38,11 @@
 public final class SimulatedFleet {
   private static final long STEP_MILLISECONDS = 10;
   private static final long RENEWAL_MILLISECONDS = 100;
+  private static final long MACHINE_LIST_MILLISECONDS = 250;
 
   private final SchedulerSettings settings = SchedulerSettings.builder().build();
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
+  private final SimulatedMachines machines = new SimulatedMachines();
   private final Map<TaskId, Long> durations = new HashMap<>();
   private final Map<WorkerKey, Long> acknowledged = new HashMap<>();
   private final Set<TaskId> acknowledgedDone = new HashSet<>();
@@ -78,6 +80,12 @@
     scheduler.workerListed(worker.report());
   }
 
+  /** Adds a machine with a worker of its name. */
+  public void addMachine(String name, PoolId pool, ResourceVector capacity) {
+    machines.add(name, pool, capacity);
+    addWorker(name, pool, capacity, List.of());
+  }
+
   /** Returns a worker for faults. */
   public FaultyWorker worker(String name) {
     return new FaultyWorker(name);
@@ -198,12 +206,22 @@
     if (now % RENEWAL_MILLISECONDS == 0) {
       workers.values().forEach(this::renew);
     }
+    listMachines();
     scheduler.decide(now, now);
     scheduler.takeImmediate().forEach(this::carryOut);
     record();
     check();
   }
 
+  private void listMachines() {
+    for (String arrived : machines.arrivedAt(now)) {
+      addWorker(arrived, machines.poolOf(arrived), machines.capacityOf(arrived), List.of());
+    }
+    if (!machines.isEmpty() && now % MACHINE_LIST_MILLISECONDS == 0) {
+      scheduler.machinesListed(machines.list(now), now);
+    }
+  }
+
   private void noteEnds(SimulatedWorker worker, List<FinishedTask> ends) {
     if (!ends.isEmpty() && worker.reachable) {
       renew(worker);
@@ -280,14 +298,22 @@
       case SchedulerCommand.AcknowledgeEnds ends ->
           acknowledged.merge(ends.worker(), ends.number(), Math::max);
       case SchedulerCommand.PaceTask pace -> scheduler.paceAnswered(pace, true, now);
-      case SchedulerCommand.MoveMachine move ->
-          scheduler.moveAnswered(move, MachineOutcome.DONE, now);
+      case SchedulerCommand.MoveMachine move -> move(move);
       case SchedulerCommand.MaintainMachine upkeep ->
           scheduler.upkeepAnswered(upkeep, MachineOutcome.DONE, now);
       case SchedulerCommand.ReportWave report -> {}
     }
   }
 
+  private void move(SchedulerCommand.MoveMachine move) {
+    boolean moves = machines.move(move.machine(), move.pool(), now);
+    if (moves) {
+      SimulatedWorker ended = workers.remove(move.machine().value());
+      scheduler.workerUnlisted(ended.key().id());
+    }
+    scheduler.moveAnswered(move, moves ? MachineOutcome.DONE : MachineOutcome.BUSY, now);
+  }
+
   private Optional<SimulatedWorker> workerOf(WorkerKey key) {
     return workers.values().stream().filter(worker -> worker.key().equals(key)).findFirst();
   }
@@ -396,6 +422,11 @@
     return count;
   }
 
+  /** Returns how many machines are in a pool or on their way to it. */
+  public int machinesIn(PoolId pool) {
+    return machines.countIn(pool);
+  }
+
   /** Returns everything that the scheduler ordered. */
   public List<SchedulerCommand> commands() {
     return List.copyOf(commands);
