Ask for fewer records after a read of the store failed

Its link has 7 Mbit/s; each read asked for 1,024 records of every topic and was given up after 2.1 s, so the repetitions filled the link and failed in the same way for good. That the link was the reason is inferred: no line told of repeated failures; the line read_failed does now. Change: a failed read halves the number of records, a full one doubles it; pages of newest records, up to 1 MB, get 6 s. StoreFollowerTest.followerBehindSlowLinkCatchesUp: 1,500 records at 400 KB/s did not arrive in 60 s before, arrive after.

--- a/node/src/main/java/org/flamingochute/node/store/StoreFollower.java
+++ b/node/src/main/java/org/flamingochute/node/store/StoreFollower.java
@@ -21,17 +21,31 @@
  * <p>It first reads the newest record of every key, page by page, and then everything from the
  * smallest end that a page told. Pages are no snapshot, but what a later page misses was appended
  * after the first page's end and is read afterwards, so nothing is lost. When the store no longer
- * keeps the next record, the topic is read anew. Runs on one event loop.
+ * keeps the next record, the topic is read anew.
+ *
+ * <p>A read that fails asks for half as many records the next time, and one that is full for twice
+ * as many: on a slow link the records of an outage would take longer than a read may, and every
+ * repetition would fail in the same way. Runs on one event loop.
  */
 public final class StoreFollower {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private static final long PAGE_TIMEOUT_MILLISECONDS = 2_000;
+  /** A page may hold 1 MB, whatever the link. */
+  private static final long PAGE_TIMEOUT_MILLISECONDS = 6_000;
+
   private static final long READ_SLACK_MILLISECONDS = 1_200;
 
   /** A caller waits for it, so it is shorter than other reads' time. */
   private static final long REFRESH_TIMEOUT_MILLISECONDS = 800;
 
+  private static final int MOST_RECORDS = 1_024;
+
+  /** Few enough for the slowest link, whatever their size. */
+  private static final int FEWEST_RECORDS = 16;
+
+  /** Pause between lines on reads that keep failing. */
+  private static final long FAILURE_REPORT_MILLISECONDS = 2_000;
+
   private static final long FIRST_RETRY_MILLISECONDS = 30;
   private static final long LONGEST_RETRY_MILLISECONDS = 400;
 
@@ -45,6 +59,8 @@
   private boolean stopped;
   private boolean loaded;
   private boolean lost;
+  private int recordLimit = MOST_RECORDS;
+  private long failureReportedAt;
   private long retryMilliseconds = FIRST_RETRY_MILLISECONDS;
   private long next;
   private Optional<ScheduledRunnable> pausedRead = Optional.empty();
@@ -105,7 +121,7 @@
     }
     Moment sentAt = clock.now();
     return store
-        .read(topic, next, 0, REFRESH_TIMEOUT_MILLISECONDS)
+        .read(topic, next, MOST_RECORDS, 0, REFRESH_TIMEOUT_MILLISECONDS)
         .thenApply(result -> refreshed(result, sentAt));
   }
 
@@ -191,13 +207,17 @@
     }
     Moment sentAt = clock.now();
     store
-        .read(topic, next, waitMilliseconds, waitMilliseconds + READ_SLACK_MILLISECONDS)
+        .read(
+            topic, next, recordLimit, waitMilliseconds, waitMilliseconds + READ_SLACK_MILLISECONDS)
         .thenAccept(result -> readArrived(result, sentAt));
   }
 
   private void readArrived(StoreRead result, Moment sentAt) {
     switch (result) {
-      case StoreRead.Failed failed -> retry(failed.detail());
+      case StoreRead.Failed failed -> {
+        recordLimit = Math.max(FEWEST_RECORDS, recordLimit / 2);
+        retry(failed.detail());
+      }
       case StoreRead.Trimmed trimmed -> {
         regained();
         logger.atInfo().log(
@@ -207,6 +227,9 @@
       }
       case StoreRead.Records records -> {
         regained();
+        if (records.records().size() >= recordLimit) {
+          recordLimit = Math.min(MOST_RECORDS, 2 * recordLimit);
+        }
         deliver(records, sentAt);
         readAgain(!records.records().isEmpty());
       }
@@ -254,10 +277,17 @@
   }
 
   private void retry(String detail) {
+    long now = clock.steady();
     if (!lost) {
       lost = true;
+      failureReportedAt = now;
       logger.atWarning().log(
           "event=dependency_lost dependency=store topic=%s detail=\"%s\"", topic, detail);
+    } else if (now - failureReportedAt >= FAILURE_REPORT_MILLISECONDS) {
+      failureReportedAt = now;
+      logger.atInfo().log(
+          "event=read_failed dependency=store topic=%s next=%d record_limit=%d detail=\"%s\"",
+          topic, next, recordLimit, detail);
     }
     long delay = retryMilliseconds;
     retryMilliseconds = Math.min(LONGEST_RETRY_MILLISECONDS, 2 * retryMilliseconds);
