Send orders for machines from a class of their own

Change: MachineOrders sends moves and maintenance and keeps the list of machines new; behaviour is unchanged.

--- a/node/src/main/java/org/flamingochute/node/leadership/LeadershipContext.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/LeadershipContext.java
@@ -17,4 +17,7 @@
 
   /** Somebody knows a higher epoch, so the term is over. */
   void fenced(String by);
+
+  /** Tells whether the term has ended. */
+  boolean isOver();
 }
--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerRunner.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerRunner.java
@@ -16,20 +16,16 @@
 import org.flamingochute.node.store.ScheduleKeys;
 import org.flamingochute.node.store.ScheduleWriter;
 import org.flamingochute.platform.wire.KeyedValue;
-import org.flamingochute.platform.wire.MachineClient;
-import org.flamingochute.platform.wire.MachineList;
 import org.flamingochute.platform.wire.StoreAppend;
 import org.flamingochute.platform.wire.StoreClient;
 import org.flamingochute.platform.wire.StoreTopic;
 import org.flamingochute.platform.wire.WaveCodec;
 import org.flamingochute.platform.wire.WorkerClient;
-import org.flamingochute.scheduling.core.MachineOutcome;
 import org.flamingochute.scheduling.core.Scheduler;
 import org.flamingochute.scheduling.core.SchedulerBatch;
 import org.flamingochute.scheduling.core.SchedulerCommand;
 import org.flamingochute.scheduling.core.SchedulerSettings;
 import org.flamingochute.scheduling.core.StartOutcome;
-import org.flamingochute.scheduling.fleet.Machine;
 import org.flamingochute.scheduling.job.JobTable;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
@@ -53,8 +49,6 @@
   /** Time without an append after which the term is renewed. */
   private static final long RENEWAL_MILLISECONDS = 300;
 
-  private static final long MACHINE_LIST_MILLISECONDS = 250;
-  private static final long MACHINE_TIMEOUT_MILLISECONDS = 2_000;
   private static final long REPORT_TIMEOUT_MILLISECONDS = 1_500;
   private static final long REPORT_RETRY_MILLISECONDS = 300;
 
@@ -62,7 +56,7 @@
   private final NodeClock clock;
   private final StoreClient store;
   private final WorkerClient workerClient;
-  private final Optional<MachineClient> machineClient;
+  private final Optional<MachineOrders> machineOrders;
   private final JobTable jobs;
   private final SchedulerSettings settings;
   private final Scheduler scheduler;
@@ -75,8 +69,6 @@
   private boolean releasing;
   private long renewal;
   private long lastAppendAt;
-  private long machinesAskedAt = Long.MIN_VALUE / 2;
-  private boolean machinesAsked;
   private Optional<ScheduledRunnable> tick = Optional.empty();
 
   SchedulerRunner(LeadershipParts parts, LeaderTerm term, Scheduler scheduler, Runnable over) {
@@ -84,12 +76,15 @@
     this.clock = parts.clock();
     this.store = parts.store();
     this.workerClient = parts.workerClient();
-    this.machineClient = parts.machineClient();
     this.jobs = parts.jobs();
     this.settings = parts.settings();
     this.term = term;
     this.scheduler = scheduler;
     this.whenOver = over;
+    this.machineOrders =
+        parts
+            .machineClient()
+            .map(client -> new MachineOrders(clock, client, this, scheduler, term.getInstance()));
     this.renewal = term.getRenewal();
     this.lastAppendAt = clock.steady();
     this.writer = new ScheduleWriter(loop, clock, store, term.getEpoch(), () -> fenced("store"));
@@ -126,6 +121,11 @@
     return !stopped && writer.silenceMilliseconds() < settings.holdWithoutStoreMilliseconds();
   }
 
+  @Override
+  public boolean isOver() {
+    return stopped;
+  }
+
   @Override
   public void changed() {
     if (stopped || decisionPending) {
@@ -187,7 +187,7 @@
     updateSessions();
     scheduler.takeImmediate().forEach(this::carryOut);
     record();
-    askForMachines();
+    machineOrders.ifPresent(MachineOrders::askForMachines);
   }
 
   private void updateSessions() {
@@ -290,8 +290,9 @@
           session(pace.worker()).ifPresent(s -> s.paceTask(pace));
       case SchedulerCommand.AcknowledgeEnds ends ->
           session(ends.worker()).ifPresent(s -> s.acknowledge(ends.number()));
-      case SchedulerCommand.MoveMachine move -> moveMachine(move);
-      case SchedulerCommand.MaintainMachine upkeep -> maintainMachine(upkeep);
+      case SchedulerCommand.MoveMachine move -> machineOrders.ifPresent(m -> m.move(move));
+      case SchedulerCommand.MaintainMachine upkeep ->
+          machineOrders.ifPresent(m -> m.maintain(upkeep));
       case SchedulerCommand.ReportWave report -> reportWave(report);
     }
   }
@@ -312,47 +313,6 @@
     session.get().startTask(start);
   }
 
-  private void moveMachine(SchedulerCommand.MoveMachine move) {
-    if (machineClient.isEmpty()) {
-      return;
-    }
-    machineClient
-        .get()
-        .move(move, term.getInstance(), epoch(), MACHINE_TIMEOUT_MILLISECONDS)
-        .thenAccept(
-            outcome -> {
-              if (isFenced(outcome)) {
-                return;
-              }
-              scheduler.moveAnswered(move, outcome, clock.steady());
-              changed();
-            });
-  }
-
-  private void maintainMachine(SchedulerCommand.MaintainMachine upkeep) {
-    if (machineClient.isEmpty()) {
-      return;
-    }
-    machineClient
-        .get()
-        .maintain(upkeep, term.getInstance(), epoch(), MACHINE_TIMEOUT_MILLISECONDS)
-        .thenAccept(
-            outcome -> {
-              if (isFenced(outcome)) {
-                return;
-              }
-              scheduler.upkeepAnswered(upkeep, outcome, clock.steady());
-              changed();
-            });
-  }
-
-  private boolean isFenced(MachineOutcome outcome) {
-    if (outcome == MachineOutcome.FENCED) {
-      fenced("machines");
-    }
-    return stopped;
-  }
-
   private void reportWave(SchedulerCommand.ReportWave report) {
     KeyedValue record =
         new KeyedValue(
@@ -373,40 +333,4 @@
               }
             });
   }
-
-  private void askForMachines() {
-    long now = clock.steady();
-    boolean due = now - machinesAskedAt >= MACHINE_LIST_MILLISECONDS;
-    if (machineClient.isEmpty() || machinesAsked || !due) {
-      return;
-    }
-    machinesAsked = true;
-    machinesAskedAt = now;
-    askForPage("", new ArrayList<>(), now);
-  }
-
-  private void askForPage(String page, List<Machine> found, long askedAt) {
-    machineClient
-        .orElseThrow()
-        .list(page, MACHINE_TIMEOUT_MILLISECONDS)
-        .thenAccept(
-            list -> {
-              switch (list) {
-                case MachineList.Failed failed -> {
-                  machinesAsked = false;
-                  logger.atInfo().log("event=machines_not_listed detail=\"%s\"", failed.detail());
-                }
-                case MachineList.Page arrived -> {
-                  found.addAll(arrived.machines());
-                  if (!arrived.next().isEmpty()) {
-                    askForPage(arrived.next(), found, askedAt);
-                    return;
-                  }
-                  machinesAsked = false;
-                  scheduler.machinesListed(found, askedAt);
-                  changed();
-                }
-              }
-            });
-  }
 }
