--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeCluster.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeCluster.java
@@ -143,6 +143,17 @@
     waitForText(number, text -> text.contains(line) ? Optional.of(line) : Optional.empty());
   }
 
+  /** Waits until a node's log has a line of an event with its fields. */
+  void waitForMatch(int number, String eventAndFields) throws Exception {
+    Pattern pattern = Pattern.compile("event=" + eventAndFields);
+    waitForText(
+        number,
+        text -> {
+          Matcher matcher = pattern.matcher(text);
+          return matcher.find() ? Optional.of(matcher.group()) : Optional.empty();
+        });
+  }
+
   /** Looks something up in a log. */
   @FunctionalInterface
   private interface LogLookup {
--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeProcessTest.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeProcessTest.java
@@ -38,6 +38,29 @@
     }
   }
 
+  /** The walks of docs/OPERATIONS.md go by these fields. */
+  @Test
+  void logsLeadFromTheIdOfTheJobToItsCourse() throws Exception {
+    try (NodeCluster cluster = new NodeCluster(folder, NODES)) {
+      int leader = cluster.waitForLeader(-1);
+      cluster.submitUntilAccepted(0, KEY, JOB, new WorkPayload(50, 500, "clubs", 1, false), 1);
+      cluster.waitForState(0, JOB, "completed");
+      String path = "path=/orders/" + JOB;
+      cluster.waitForMatch(
+          0,
+          "call_answered method=POST " + path + " status=200 reason=\"stored\" duration_ms=\\d+");
+      cluster.waitForMatch(
+          leader, "tasks_placed job=" + JOB + " occurrence=0 step=0 runs=0/1@\\S+");
+      cluster.waitForMatch(
+          leader, "run_over task=" + JOB + "\\.0\\.0\\.0 attempt=1 worker=\\S+ cause=failed");
+      cluster.waitForMatch(
+          leader, "job_ended job=" + JOB + " queue=orders phase=COMPLETED cause=\\S+ age_ms=\\d+");
+      assertThat(statusOf(cluster.submit(0, "no-key", LATER_JOB, work(10), 1)), is(401));
+      cluster.waitForMatch(
+          0, "call_answered method=POST path=/orders/" + LATER_JOB + " status=401 reason=\".+\"");
+    }
+  }
+
   /** A node reads jobs in groups, so it may not know one that another node has just accepted. */
   @ParameterizedTest
   @ValueSource(strings = {"GET", "DELETE"})
