Learn the jobs before the first orders of a term

Runs of a job that the successor does not know yet look like strays: running ones are stopped, ends are acknowledged without a record, and the task starts again when the job is read. Change: after its claim a successor reads the new jobs to their end before it becomes the leader, and tries again until it can or another one claims. Ruled out: acknowledging no end of an unknown job (it would never be acknowledged for jobs that are gone).

--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
@@ -48,6 +48,10 @@
   private static final long CHECK_MILLISECONDS = 50;
   private static final long CLAIM_TIMEOUT_MILLISECONDS = 800;
   private static final String HOLDER_SEPARATOR = "/";
+
+  /** Pause after a read of new jobs that failed. */
+  private static final long LEARN_RETRY_MILLISECONDS = 30;
+
   private static final int CLAIM_TRIES = 4;
 
   /** Time in which the records that made a claim fail are read. */
@@ -60,6 +64,7 @@
   private final Map<Long, WaveProgress> waveProgress = new HashMap<>();
   private Optional<PoolHistory> poolHistory = Optional.empty();
   private Optional<StoreFollower> follower = Optional.empty();
+  private Optional<StoreFollower> intake = Optional.empty();
   private Optional<SchedulerRunner> runner = Optional.empty();
   private Consumer<Boolean> whenHolding = holding -> {};
   private long nextClaimAt;
@@ -83,11 +88,13 @@
    * Begins to watch.
    *
    * @param schedule reads the topic of the schedule
+   * @param newJobs reads the topic of jobs that were handed in
    * @param holding learns whether this entry leads
    */
-  public void start(StoreFollower schedule, Consumer<Boolean> holding) {
+  public void start(StoreFollower schedule, StoreFollower newJobs, Consumer<Boolean> holding) {
     whenHolding = holding;
     follower = Optional.of(schedule);
+    intake = Optional.of(newJobs);
     check();
   }
 
@@ -166,8 +173,7 @@
 
   private void claimAnswered(StoreAppend result, LeaderTerm term, long end, int tries) {
     if (result instanceof StoreAppend.Appended) {
-      claiming = false;
-      becomeLeader(term);
+      learnJobs(term);
       return;
     }
     if (result instanceof StoreAppend.Unknown && tries > 1) {
@@ -180,6 +186,33 @@
         "event=leadership_claim_failed epoch=%d result=\"%s\"", term.getEpoch(), result);
   }
 
+  /**
+   * Reads all jobs that the predecessor can have started. The schedule was read to its end before
+   * the claim, but of its jobs some may not have been read yet: their runs would look like strays,
+   * and ends of them would be acknowledged without a record.
+   */
+  private void learnJobs(LeaderTerm term) {
+    intake
+        .orElseThrow()
+        .refresh()
+        .thenAccept(
+            complete -> {
+              boolean succeeded = watch.newest().getEpoch() > term.getEpoch();
+              if (complete || succeeded || leaving) {
+                claiming = false;
+              }
+              if (succeeded) {
+                logger.atInfo().log(
+                    "event=leadership_lost epoch=%d by=\"term of %s\"",
+                    term.getEpoch(), watch.newest().getInstance());
+              } else if (complete) {
+                becomeLeader(term);
+              } else if (!leaving) {
+                parts.loop().delay(LEARN_RETRY_MILLISECONDS, () -> learnJobs(term));
+              }
+            });
+  }
+
   private void becomeLeader(LeaderTerm term) {
     if (leaving) {
       return;
--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -257,7 +257,7 @@
     workers.start();
     intake.start();
     schedule.start();
-    leadership.start(schedule, this::pauseFollowers);
+    leadership.start(schedule, intake, this::pauseFollowers);
     checkStart();
     watchPauses(clock.now());
   }
--- a/node/src/main/java/org/flamingochute/node/store/StoreFollower.java
+++ b/node/src/main/java/org/flamingochute/node/store/StoreFollower.java
@@ -121,7 +121,7 @@
     }
     Moment sentAt = clock.now();
     return store
-        .read(topic, next, MOST_RECORDS, 0, REFRESH_TIMEOUT_MILLISECONDS)
+        .read(topic, next, recordLimit, 0, REFRESH_TIMEOUT_MILLISECONDS)
         .thenApply(result -> refreshed(result, sentAt));
   }
 
--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeProcessTest.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeProcessTest.java
@@ -96,6 +96,26 @@
     }
   }
 
+  /** Workers list runs of jobs that a successor has not read yet; they are no strays. */
+  @Test
+  void successorLearnsTheJobsBeforeItOrders() throws Exception {
+    try (NodeCluster cluster = new NodeCluster(folder, 2)) {
+      int leader = cluster.waitForLeader(-1);
+      int other = 1 - leader;
+      cluster.submitUntilAccepted(leader, KEY, LATER_JOB, work(10), 1);
+      cluster.waitForState(other, LATER_JOB, "completed");
+      cluster.post("/fault?store=NONE&silent_topic=keyed.intake", "");
+      cluster.submitUntilAccepted(leader, KEY, JOB, work(4_000), 6);
+      cluster.waitForState(leader, JOB, "running");
+      cluster.signal(leader, "KILL");
+      cluster.waitForLine(other, "event=leadership_claim ");
+      Thread.sleep(1_500);
+      cluster.post("/fault?store=NONE", "");
+      cluster.waitForState(other, JOB, "completed");
+      assertThat(cluster.get("/ledger"), containsString("\"starts\":7,\"doubled\":0"));
+    }
+  }
+
   @Test
   void frozenLeaderOrdersNothingAfterItWakes() throws Exception {
     try (NodeCluster cluster = new NodeCluster(folder, NODES)) {
