Try the store again after new jobs were refused for its silence

The mark of a lost store goes with the next append that succeeds, and once nothing waits no append is made while calls are refused at once. Change: half a second after the last failure a call is let through again.

--- a/node/src/main/java/org/flamingochute/node/store/IntakeWriter.java
+++ b/node/src/main/java/org/flamingochute/node/store/IntakeWriter.java
@@ -35,12 +35,16 @@
   /** Time of failures after which the store counts as lost. */
   private static final long LOST_MILLISECONDS = 1_000;
 
+  /** Time after the last failure from which the store is tried again. */
+  private static final long PROBE_MILLISECONDS = 500;
+
   private final Eventloop loop;
   private final NodeClock clock;
   private final StoreClient store;
   private final Deque<Pending> waiting = new ArrayDeque<>();
   private boolean calling;
   private Optional<Moment> failingSince = Optional.empty();
+  private Optional<Moment> failedAt = Optional.empty();
 
   /** Creates a writer. */
   public IntakeWriter(Eventloop loop, NodeClock clock, StoreClient store) {
@@ -60,11 +64,16 @@
     }
   }
 
-  /** Tells whether appends have failed for a while, so that a new one would not succeed soon. */
+  /**
+   * Tells whether appends have failed for a while, so that a new one would not succeed soon. When
+   * nothing was tried lately, a new one is let through to find out.
+   */
   public boolean isStoreLost() {
-    return failingSince
-        .map(since -> since.elapsedUntil(clock.now()) >= LOST_MILLISECONDS)
-        .orElse(false);
+    return isOlder(failingSince, LOST_MILLISECONDS) && !isOlder(failedAt, PROBE_MILLISECONDS);
+  }
+
+  private boolean isOlder(Optional<Moment> moment, long milliseconds) {
+    return moment.map(since -> since.elapsedUntil(clock.now()) >= milliseconds).orElse(false);
   }
 
   /** Appends a record, or gives up after the given time. */
@@ -146,6 +155,7 @@
   }
 
   private void failed(List<Pending> group, boolean uncertain, StoreAppend result) {
+    failedAt = Optional.of(clock.now());
     if (failingSince.isEmpty()) {
       failingSince = Optional.of(clock.now());
       logger.atWarning().log(
--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeProcessTest.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeProcessTest.java
@@ -171,6 +171,18 @@
     }
   }
 
+  @Test
+  void storeThatComesBackIsUsedAgain() throws Exception {
+    try (NodeCluster cluster = new NodeCluster(folder, 1)) {
+      cluster.submitUntilAccepted(0, KEY, JOB, work(10), 1);
+      cluster.post("/fault?store=SILENT", "");
+      assertThat(statusOf(cluster.submit(0, KEY, LATER_JOB, work(10), 1)), not(is(200)));
+      Thread.sleep(2_000);
+      cluster.post("/fault?store=NONE", "");
+      cluster.submitUntilAccepted(0, KEY, "00000000000000a4", work(10), 1);
+    }
+  }
+
   @Test
   void jobWhoseAcknowledgementIsLostIsNeverSaidNotToRun() throws Exception {
     try (NodeCluster cluster = new NodeCluster(folder, 1)) {
