Tell the predecessor from the own term; make the claim a class of its own

Cause: found by reading a job through the code. LeaderWatchTest.ownTermDoesNotHideThePredecessor holds it without processes. Change: LeaderWatch keeps the last holder other than the candidate. A term tells while leases of an earlier holder may be in force, so that a handover or restart within that time is treated like a loss. A stopping instance abandons its claim.

--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
@@ -6,25 +6,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.node.FleetState;
+import org.flamingochute.node.NodeClock;
 import org.flamingochute.node.store.ScheduleKeys;
-import org.flamingochute.node.store.ScheduleWriter;
 import org.flamingochute.node.store.StoreFollower;
 import org.flamingochute.node.store.TopicListener;
-import org.flamingochute.platform.wire.KeyedValue;
-import org.flamingochute.platform.wire.ProducerPosition;
-import org.flamingochute.platform.wire.StoreAppend;
 import org.flamingochute.platform.wire.StoreRecord;
-import org.flamingochute.platform.wire.StoreTopic;
 import org.flamingochute.scheduling.core.Predecessor;
 import org.flamingochute.scheduling.core.Scheduler;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.WaveOrder;
 import org.flamingochute.scheduling.job.JobEntry;
+import org.flamingochute.scheduling.leadership.LeaderCandidate;
 import org.flamingochute.scheduling.leadership.LeaderEpoch;
 import org.flamingochute.scheduling.leadership.LeaderWatch;
 import org.flamingochute.scheduling.worker.WorkerReport;
@@ -36,23 +32,12 @@
 /**
  * Decides whether this instance is the leader, which alone schedules: it follows the leader's
  * records, takes over when the leader is silent, and gives the leadership up when this instance
- * stops.
- *
- * <p>A claim is one append of a term with a higher epoch, on the condition that the topic ends
- * where this instance's knowledge ends. When it succeeds, this instance knows every record of its
- * predecessors, and the store accepts no more of them. Used on one event loop.
+ * stops.. Used on one event loop.
  */
 public final class SchedulerLeadership implements TopicListener, FleetState.Listener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private static final long CHECK_MILLISECONDS = 50;
-  private static final long CLAIM_TIMEOUT_MILLISECONDS = 800;
-  private static final String HOLDER_SEPARATOR = "/";
-
-  /** Pause after a read of new jobs that failed. */
-  private static final long LEARN_RETRY_MILLISECONDS = 30;
-
-  private static final int CLAIM_TRIES = 4;
 
   /** Time in which the records that made a claim fail are read. */
   private static final long CLAIM_PAUSE_MILLISECONDS = 300;
@@ -60,15 +45,15 @@
   private final LeadershipParts parts;
   private final FleetState state;
   private final LeaderWatch watch;
-  private final long incarnation;
+  private final LeaderCandidate candidate;
   private final Map<Long, WaveProgress> waveProgress = new HashMap<>();
   private Optional<PoolHistory> poolHistory = Optional.empty();
   private Optional<StoreFollower> follower = Optional.empty();
   private Optional<StoreFollower> intake = Optional.empty();
+  private Optional<LeadershipClaim> claim = Optional.empty();
   private Optional<SchedulerRunner> runner = Optional.empty();
   private Consumer<Boolean> whenHolding = holding -> {};
   private long nextClaimAt;
-  private boolean claiming;
   private boolean leaving;
   private boolean ready;
 
@@ -80,8 +65,8 @@
   public SchedulerLeadership(LeadershipParts parts, FleetState state, long incarnation) {
     this.parts = parts;
     this.state = state;
-    this.incarnation = incarnation;
-    this.watch = new LeaderWatch(parts.claimDelayMilliseconds());
+    this.candidate = new LeaderCandidate(parts.instance(), incarnation);
+    this.watch = new LeaderWatch(parts.claimDelayMilliseconds(), candidate);
   }
 
   /**
@@ -111,14 +96,15 @@
   /** Gives the leadership up, and claims it no more. */
   public void leave() {
     leaving = true;
+    claim.ifPresent(LeadershipClaim::abandon);
     runner.ifPresent(SchedulerRunner::release);
   }
 
   private void check() {
     parts.loop().delay(CHECK_MILLISECONDS, this::check);
-    boolean may = ready && !leaving && !claiming && runner.isEmpty();
+    boolean may = ready && !leaving && claim.isEmpty() && runner.isEmpty();
     if (may && follower.orElseThrow().isLoaded() && (mayClaim() || isMine())) {
-      claim();
+      makeClaim();
     }
   }
 
@@ -132,99 +118,51 @@
    * process of this instance, which has ended. Then a claim need not wait.
    */
   private boolean isMine() {
-    boolean mine = watch.newest().getInstance().startsWith(parts.instance() + HOLDER_SEPARATOR);
-    return mine && parts.clock().steady() >= nextClaimAt;
+    return candidate.isOfInstance(watch.newest()) && parts.clock().steady() >= nextClaimAt;
   }
 
-  private Predecessor predecessor() {
-    boolean over = watch.newest().getEpoch() == 0 || watch.newest().getReleased() || isMine();
-    return over ? Predecessor.OVER : Predecessor.UNKNOWN;
-  }
-
-  private String holderName() {
-    return parts.instance() + HOLDER_SEPARATOR + incarnation;
-  }
-
-  private void claim() {
-    claiming = true;
+  private void makeClaim() {
     LeaderTerm term =
         LeaderTerm.newBuilder()
-            .setEpoch(LeaderEpoch.next(watch.newest().getEpoch(), holderName().hashCode()))
-            .setInstance(holderName())
+            .setEpoch(
+                LeaderEpoch.next(watch.newest().getEpoch(), candidate.holderName().hashCode()))
+            .setInstance(candidate.holderName())
             .setRenewal(1)
+            .setEarlierLeases(watch.predecessor() == Predecessor.UNKNOWN)
             .build();
-    logger.atInfo().log(
-        "event=leadership_claim epoch=%d previous=%s end=%d",
-        term.getEpoch(), watch.newest().getInstance(), follower.orElseThrow().next());
-    claim(term, follower.orElseThrow().next(), CLAIM_TRIES);
-  }
-
-  private void claim(LeaderTerm term, long end, int tries) {
-    parts
-        .store()
-        .append(
-            StoreTopic.SCHEDULE,
-            List.of(new KeyedValue(ScheduleKeys.LEADER_TERM, term.toByteArray())),
-            Optional.of(new ProducerPosition(ScheduleWriter.PRODUCER, term.getEpoch(), 0)),
-            OptionalLong.of(end),
-            CLAIM_TIMEOUT_MILLISECONDS)
-        .thenAccept(result -> claimAnswered(result, term, end, tries));
+    LeadershipClaim made =
+        new LeadershipClaim(parts, watch, intake.orElseThrow(), term, claimListener());
+    claim = Optional.of(made);
+    made.make(follower.orElseThrow().next());
   }
 
-  private void claimAnswered(StoreAppend result, LeaderTerm term, long end, int tries) {
-    if (result instanceof StoreAppend.Appended) {
-      learnJobs(term);
-      return;
-    }
-    if (result instanceof StoreAppend.Unknown && tries > 1) {
-      claim(term, end, tries - 1);
-      return;
-    }
-    claiming = false;
-    nextClaimAt = parts.clock().steady() + CLAIM_PAUSE_MILLISECONDS;
-    logger.atInfo().log(
-        "event=leadership_claim_failed epoch=%d result=\"%s\"", term.getEpoch(), result);
-  }
-
-  /**
-   * Reads all jobs that the predecessor can have started. The schedule was read to its end before
-   * the claim, but of its jobs some may not have been read yet: their runs would look like strays,
-   * and ends of them would be acknowledged without a record.
-   */
-  private void learnJobs(LeaderTerm term) {
-    intake
-        .orElseThrow()
-        .refresh()
-        .thenAccept(
-            complete -> {
-              boolean succeeded = watch.newest().getEpoch() > term.getEpoch();
-              if (complete || succeeded || leaving) {
-                claiming = false;
-              }
-              if (succeeded) {
-                logger.atInfo().log(
-                    "event=leadership_lost epoch=%d by=\"term of %s\"",
-                    term.getEpoch(), watch.newest().getInstance());
-              } else if (complete) {
-                becomeLeader(term);
-              } else if (!leaving) {
-                parts.loop().delay(LEARN_RETRY_MILLISECONDS, () -> learnJobs(term));
-              }
-            });
+  private LeadershipClaim.Listener claimListener() {
+    return new LeadershipClaim.Listener() {
+      @Override
+      public void won(LeaderTerm term) {
+        claim = Optional.empty();
+        becomeLeader(term);
+      }
+
+      @Override
+      public void lost() {
+        claim = Optional.empty();
+        nextClaimAt = parts.clock().steady() + CLAIM_PAUSE_MILLISECONDS;
+      }
+    };
   }
 
   private void becomeLeader(LeaderTerm term) {
-    if (leaving) {
-      return;
-    }
     Optional<FleetDeclaration> declaration = state.declaration();
     if (declaration.isEmpty()) {
       return;
     }
     long now = parts.clock().steady();
     final long timeOfDay = parts.clock().timeOfDay();
+    Predecessor predecessor = watch.predecessor();
     Scheduler scheduler =
-        new Scheduler(parts.settings(), declaration.get(), predecessor(), watch.renewedAt(), now);
+        new Scheduler(
+            parts.settings(), declaration.get(), predecessor, watch.predecessorHeardAt(), now);
     poolHistory.ifPresent(scheduler::poolHistoryStored);
     state.workers().forEach(scheduler::workerListed);
     state.unlistedWorkers().forEach(scheduler::workerRemembered);
@@ -236,7 +174,8 @@
     SchedulerRunner started = new SchedulerRunner(parts, term, scheduler, this::leadershipOver);
     runner = Optional.of(started);
     logger.atInfo().log(
-        "event=leadership_taken epoch=%d jobs=%d", term.getEpoch(), state.jobs().entries().size());
+        "event=leadership_taken epoch=%d jobs=%d predecessor=%s",
+        term.getEpoch(), state.jobs().entries().size(), predecessor);
     whenHolding.accept(true);
     started.start();
   }
@@ -301,8 +240,7 @@
     if (runner.isEmpty()) {
       return;
     }
-    boolean other =
-        term.getEpoch() == runner.get().epoch() && !term.getInstance().equals(holderName());
+    boolean other = term.getEpoch() == runner.get().epoch() && !candidate.holds(term);
     if (other || term.getEpoch() > runner.get().epoch()) {
       runner.get().fenced("term of " + term.getInstance());
     }
@@ -313,57 +251,44 @@
     watch.readSucceeded(parts.clock().steady());
   }
 
-  @Override
-  public void declared(FleetDeclaration declaration) {
+  /** Tells the scheduler of a change, while this instance leads. */
+  private void tell(Consumer<Scheduler> change) {
     runner.ifPresent(
-        r -> {
-          r.scheduler().declare(declaration);
-          r.changed();
+        held -> {
+          change.accept(held.scheduler());
+          held.changed();
         });
   }
 
+  @Override
+  public void declared(FleetDeclaration declaration) {
+    tell(scheduler -> scheduler.declare(declaration));
+  }
+
   @Override
   public void waveOrdered(WaveOrder order) {
-    runner.ifPresent(
-        r -> {
-          r.scheduler().waveOrdered(order, progressOf(order));
-          r.changed();
-        });
+    tell(scheduler -> scheduler.waveOrdered(order, progressOf(order)));
   }
 
   @Override
   public void workerListed(WorkerReport report) {
-    runner.ifPresent(
-        r -> {
-          r.scheduler().workerListed(report);
-          r.changed();
-        });
+    tell(scheduler -> scheduler.workerListed(report));
   }
 
   @Override
   public void workerUnlisted(InstanceId worker) {
-    runner.ifPresent(
-        r -> {
-          r.scheduler().workerUnlisted(worker);
-          r.changed();
-        });
+    tell(scheduler -> scheduler.workerUnlisted(worker));
   }
 
   @Override
   public void jobStored(JobEntry entry) {
-    runner.ifPresent(
-        r -> {
-          r.scheduler().jobStored(entry, parts.clock().steady(), parts.clock().timeOfDay());
-          r.changed();
-        });
+    NodeClock clock = parts.clock();
+    tell(scheduler -> scheduler.jobStored(entry, clock.steady(), clock.timeOfDay()));
   }
 
   @Override
   public void jobCancelled(JobId job) {
-    runner.ifPresent(
-        r -> {
-          r.scheduler().jobCancelled(job, parts.clock().steady(), parts.clock().timeOfDay());
-          r.changed();
-        });
+    NodeClock clock = parts.clock();
+    tell(scheduler -> scheduler.jobCancelled(job, clock.steady(), clock.timeOfDay()));
   }
 }
--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerRunner.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerRunner.java
@@ -63,6 +63,7 @@
   private final ScheduleWriter writer;
   private final LeaderTerm term;
   private final Runnable whenOver;
+  private final long earlierLeasesEndAt;
   private final Map<WorkerKey, WorkerSession> sessions = new HashMap<>();
   private boolean decisionPending;
   private boolean stopped;
@@ -86,6 +87,7 @@
             .machineClient()
             .map(client -> new MachineOrders(clock, client, this, scheduler, term.getInstance()));
     this.renewal = term.getRenewal();
+    this.earlierLeasesEndAt = clock.steady() + settings.foreignLeaseMilliseconds();
     this.lastAppendAt = clock.steady();
     this.writer = new ScheduleWriter(loop, clock, store, term.getEpoch(), () -> fenced("store"));
   }
@@ -167,7 +169,7 @@
   }
 
   private void appendRelease() {
-    LeaderTerm released = term.toBuilder().setRenewal(++renewal).setReleased(true).build();
+    LeaderTerm released = renewedTerm().setReleased(true).build();
     writer.append(
         List.of(new KeyedValue(ScheduleKeys.LEADER_TERM, released.toByteArray())),
         () -> {
@@ -231,6 +233,11 @@
     writer.append(recordsOf(batch), () -> recorded(batch));
   }
 
+  private LeaderTerm.Builder renewedTerm() {
+    boolean earlierLeases = term.getEarlierLeases() && clock.steady() < earlierLeasesEndAt;
+    return term.toBuilder().setRenewal(++renewal).setEarlierLeases(earlierLeases);
+  }
+
   private List<KeyedValue> recordsOf(SchedulerBatch batch) {
     List<KeyedValue> records = new ArrayList<>();
     for (Map.Entry<JobId, JobProgress> entry : batch.records().entrySet()) {
@@ -249,8 +256,7 @@
           new KeyedValue(ScheduleKeys.POOL_HISTORY, batch.poolHistory().get().toByteArray()));
     }
     if (records.isEmpty()) {
-      LeaderTerm renewed = term.toBuilder().setRenewal(++renewal).build();
-      records.add(new KeyedValue(ScheduleKeys.LEADER_TERM, renewed.toByteArray()));
+      records.add(new KeyedValue(ScheduleKeys.LEADER_TERM, renewedTerm().build().toByteArray()));
     }
     return records;
   }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/leadership/LeaderWatch.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/leadership/LeaderWatch.java
@@ -1,5 +1,6 @@
 package org.flamingochute.scheduling.leadership;
 
+import org.flamingochute.scheduling.core.Predecessor;
 import org.flamingochute.schema.scheduling.LeaderTerm;
 
 /**
@@ -10,6 +11,10 @@
  * that is cut off from the store never regards the holder as silent. A wrong judgement does no
  * harm: a claim is an append on the condition that nothing was appended since the candidate's last
  * read, so a renewal that the candidate has not read makes its claim fail.
+ *
+ * <p>The predecessor is the last holder other than the candidate itself. The candidate's own term
+ * may be read before its claim is answered, and must not be taken for that of a process that has
+ * ended.
  */
 public final class LeaderWatch {
   /** Time without a renewal after which the holder is regarded as lost. */
@@ -19,8 +24,11 @@
   private static final long READ_AGE_MILLISECONDS = 1_200;
 
   private final long claimDelayMilliseconds;
+  private final LeaderCandidate candidate;
   private LeaderTerm newest = LeaderTerm.getDefaultInstance();
   private long renewedAt;
+  private LeaderTerm previous = LeaderTerm.getDefaultInstance();
+  private long previousHeardAt;
   private long readAt = Long.MIN_VALUE / 2;
   private long readsBegan;
 
@@ -29,9 +37,11 @@
    *
    * @param claimDelayMilliseconds delay of this candidate's claims, different for each candidate so
    *     that one of them usually comes first
+   * @param candidate this process
    */
-  public LeaderWatch(long claimDelayMilliseconds) {
+  public LeaderWatch(long claimDelayMilliseconds, LeaderCandidate candidate) {
     this.claimDelayMilliseconds = claimDelayMilliseconds;
+    this.candidate = candidate;
   }
 
   /** Takes a record of the term; older ones than the newest are ignored. */
@@ -40,12 +50,16 @@
       return;
     }
     newest = term;
-    renewedAt = now;
+    holderWrote(now);
   }
 
   /** Notes a record that only the holder of the leadership can have written. */
   public void holderWrote(long now) {
     renewedAt = now;
+    if (!candidate.holds(newest)) {
+      previous = newest;
+      previousHeardAt = now;
+    }
   }
 
   /** Notes that the store answered a read which was sent after everything before was applied. */
@@ -61,9 +75,16 @@
     return newest;
   }
 
-  /** Returns when the holder's last sign was read. */
-  public long renewedAt() {
-    return renewedAt;
+  /** Returns when the last sign of the predecessor was read. */
+  public long predecessorHeardAt() {
+    return previousHeardAt;
+  }
+
+  /** Returns what is known of the last holder other than this process. */
+  public Predecessor predecessor() {
+    boolean ended = previous.getReleased() || candidate.isOfInstance(previous);
+    boolean over = previous.getEpoch() == 0 || ended && !previous.getEarlierLeases();
+    return over ? Predecessor.OVER : Predecessor.UNKNOWN;
   }
 
   /** Tells whether the leadership may be claimed now. */
--- a/scheduling/src/test/java/org/flamingochute/scheduling/leadership/LeaderWatchTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/leadership/LeaderWatchTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
+import org.flamingochute.scheduling.core.Predecessor;
 import org.flamingochute.schema.scheduling.LeaderTerm;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -12,8 +13,9 @@
 
 class LeaderWatchTest {
   private static final long DELAY = 100;
+  private static final LeaderCandidate CANDIDATE = new LeaderCandidate("me", 7);
 
-  private final LeaderWatch watch = new LeaderWatch(DELAY);
+  private final LeaderWatch watch = new LeaderWatch(DELAY, CANDIDATE);
 
   private static LeaderTerm term(long epoch, boolean released) {
     return LeaderTerm.newBuilder().setEpoch(epoch).setReleased(released).build();
@@ -61,6 +63,37 @@
     assertThat(watch.mayClaim(1_400), is(false));
   }
 
+  @ParameterizedTest
+  @CsvSource({
+    "other/1, false, false, UNKNOWN",
+    "other/1, true, false, OVER",
+    "other/1, true, true, UNKNOWN",
+    "me/6, false, false, OVER",
+    "me/6, false, true, UNKNOWN"
+  })
+  void predecessorIsOverOnceItAndItsOwnPredecessorAre(
+      String holder, boolean released, boolean earlierLeases, Predecessor expected) {
+    watch.observe(
+        term(3, released).toBuilder().setInstance(holder).setEarlierLeases(earlierLeases).build(),
+        50);
+    assertThat(watch.predecessor(), is(expected));
+  }
+
+  @Test
+  void firstLeaderHasNoPredecessor() {
+    assertThat(watch.predecessor(), is(Predecessor.OVER));
+  }
+
+  /** The own term may be read before the claim is answered. */
+  @Test
+  void ownTermDoesNotHideThePredecessor() {
+    watch.observe(term(3, false).toBuilder().setInstance("other/1").build(), 50);
+    watch.observe(term(4, false).toBuilder().setInstance("me/7").build(), 2_000);
+    watch.holderWrote(2_100);
+    assertThat(watch.predecessor(), is(Predecessor.UNKNOWN));
+    assertThat(watch.predecessorHeardAt(), is(50L));
+  }
+
   @ParameterizedTest
   @CsvSource({"0", "1048577", "5242887"})
   void epochsRiseAndDifferBetweenCandidates(long previous) {
--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeProcessTest.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeProcessTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The node's program on the platform stand-in, with faults from outside. */
@@ -97,6 +98,19 @@
     }
   }
 
+  /** A predecessor that may still hold leases must not be taken for one that has ended. */
+  @ParameterizedTest
+  @CsvSource({"KILL,UNKNOWN", "STOP,UNKNOWN", "TERM,OVER"})
+  void successorKnowsHowItsPredecessorWent(String signal, String expected) throws Exception {
+    try (NodeCluster cluster = new NodeCluster(folder, NODES)) {
+      int leader = cluster.waitForLeader(-1);
+      cluster.signal(leader, signal);
+      int successor = cluster.waitForLeader(leader);
+      cluster.waitForMatch(
+          successor, "leadership_taken epoch=\\d+ jobs=\\d+ predecessor=" + expected);
+    }
+  }
+
   /** Workers list runs of jobs that a successor has not read yet; they are no strays. */
   @Test
   void successorLearnsTheJobsBeforeItOrders() throws Exception {
