--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -56,7 +56,7 @@
   private final Outbox outbox;
   private final Map<MachineId, Move> moves = new LinkedHashMap<>();
   private final TurnForecast forecast = new TurnForecast();
-  private final Map<MachineId, PoolId> homes = new HashMap<>();
+  private final MachineHomes homes;
   private final Map<PoolId, Long> surplusSince = new HashMap<>();
   private long reportedAt = Long.MIN_VALUE / 2;
 
@@ -66,6 +66,7 @@
       WorkerBook workers, MachineBook machines, JobBook jobs, WaveConductor waves, Outbox outbox) {
     this.workers = workers;
     this.machines = machines;
+    this.homes = new MachineHomes(machines);
     this.jobs = jobs;
     this.waves = waves;
     this.outbox = outbox;
@@ -73,76 +74,34 @@
 
   /** Takes what an earlier scheduler learnt. */
   void restore(PoolHistory history) {
-    history
-        .getMachineHomesMap()
-        .forEach((machine, pool) -> homes.put(new MachineId(machine), new PoolId(pool)));
+    homes.restore(history);
     forecast.restore(history);
   }
 
-  /** A machine's own pool is the one that it was in at first, before it was ever moved. */
-  private boolean noteHomes() {
-    boolean changed = false;
-    for (Machine machine : machines.all()) {
-      changed |= homes.putIfAbsent(machine.id(), machine.pool()) == null;
-    }
-    return changed;
-  }
-
   private void recordHistory() {
     PoolHistory.Builder history = PoolHistory.newBuilder();
-    homes.forEach((machine, pool) -> history.putMachineHomes(machine.value(), pool.value()));
+    homes.record(history);
     forecast.record(history);
     outbox.poolHistoryChanged(history.build());
   }
 
-  private int homeCount(PoolId pool) {
-    int count = 0;
-    for (Machine machine : machines.all()) {
-      boolean there = machine.state() != Machine.State.DOWN;
-      if (there && pool.equals(homes.get(machine.id()))) {
-        count++;
-      }
-    }
-    return count;
-  }
-
-  /** Machines of one pool. */
-  private static final class Members {
-    private final Pool pool;
-    private final List<Machine> idle = new ArrayList<>();
-    private int count;
-    private int need;
-
-    /** Machines that the present load asks for. */
-    private int asked;
-
-    /** Machines below which the pool lends none to a pool that keeps too few. */
-    private int lendingFloor;
-
-    /** Machines below which the pool lends none to a pool whose load exceeds its machines. */
-    private int helpingFloor;
-
-    private Members(Pool pool) {
-      this.pool = pool;
-    }
-  }
-
   /** Orders the moves that the load asks for. */
   void advance(FleetDeclaration declaration, long now, long timeOfDay) {
     noteEffects(now);
     if (machines.isEmpty()) {
       return;
     }
-    boolean learnt = noteHomes();
+    boolean learnt = homes.note();
     Map<PoolId, PoolLoad> loads = loads(timeOfDay);
-    Map<PoolId, Members> pools = members(declaration);
-    Optional<Members> standby =
+    Map<PoolId, PoolMembers> pools = members(declaration);
+    Optional<PoolMembers> standby =
         pools.values().stream().filter(members -> members.pool.standby()).findFirst();
     ResourceVector size = typicalCapacity();
-    for (Members members : pools.values()) {
+    for (PoolMembers members : pools.values()) {
       if (!members.pool.standby()) {
         PoolLoad load = loads.getOrDefault(members.pool.id(), new PoolLoad());
-        double share = load.batch().dominantPart(size) / Math.max(1, homeCount(members.pool.id()));
+        double share =
+            load.batch().dominantPart(size) / Math.max(1, homes.count(members.pool.id()));
         learnt |= forecast.observe(members.pool.id(), share, timeOfDay);
         members.asked = machinesFor(load.total(), size);
         members.need = need(members, load, size, timeOfDay);
@@ -152,7 +111,7 @@
     if (learnt) {
       recordHistory();
     }
-    for (Members members : byShortage(pools)) {
+    for (PoolMembers members : byShortage(pools)) {
       if (!members.pool.standby()) {
         fillShortage(members, pools, standby, now);
       }
@@ -165,9 +124,9 @@
   }
 
   /** Load that waits goes before machines that are kept for a load that may come. */
-  private static List<Members> byShortage(Map<PoolId, Members> pools) {
-    List<Members> sorted = new ArrayList<>(pools.values());
-    sorted.sort(Comparator.comparingInt((Members members) -> members.count - members.asked));
+  private static List<PoolMembers> byShortage(Map<PoolId, PoolMembers> pools) {
+    List<PoolMembers> sorted = new ArrayList<>(pools.values());
+    sorted.sort(Comparator.comparingInt((PoolMembers members) -> members.count - members.asked));
     return sorted;
   }
 
@@ -175,9 +134,9 @@
    * Returns the machines that a pool needs now. A pool that had its turn and is not due again soon
    * keeps what its lasting tasks and a small reserve ask for; the others keep their own machines.
    */
-  private int need(Members members, PoolLoad load, ResourceVector size, long timeOfDay) {
+  private int need(PoolMembers members, PoolLoad load, ResourceVector size, long timeOfDay) {
     PoolId pool = members.pool.id();
-    int home = homeCount(pool);
+    int home = homes.count(pool);
     if (forecast.isInTurn(pool) || forecast.isDue(pool, timeOfDay, LEAD_MILLISECONDS)) {
       return Math.max(members.asked, home);
     }
@@ -190,7 +149,7 @@
    * moment, but a load that waits elsewhere is certain, so it helps with half of what it can spare.
    */
   private void setLendingFloors(
-      Members members, PoolLoad load, ResourceVector size, long timeOfDay) {
+      PoolMembers members, PoolLoad load, ResourceVector size, long timeOfDay) {
     PoolId pool = members.pool.id();
     int resident = machinesFor(load.lasting(), size);
     int lowest = Math.min(members.need, Math.max(members.asked, resident + RESERVE_MACHINES));
@@ -232,14 +191,14 @@
     return loads;
   }
 
-  private Map<PoolId, Members> members(FleetDeclaration declaration) {
-    Map<PoolId, Members> pools = new TreeMap<>();
+  private Map<PoolId, PoolMembers> members(FleetDeclaration declaration) {
+    Map<PoolId, PoolMembers> pools = new TreeMap<>();
     for (Pool pool : declaration.pools()) {
-      pools.put(pool.id(), new Members(pool));
+      pools.put(pool.id(), new PoolMembers(pool));
     }
     for (Machine machine : machines.all()) {
       Move move = moves.get(machine.id());
-      Members members = pools.get(move == null ? machine.pool() : move.pool());
+      PoolMembers members = pools.get(move == null ? machine.pool() : move.pool());
       if (members == null || machine.state() == Machine.State.DOWN) {
         continue;
       }
@@ -280,23 +239,26 @@
   }
 
   private void fillShortage(
-      Members members, Map<PoolId, Members> pools, Optional<Members> standby, long now) {
+      PoolMembers members,
+      Map<PoolId, PoolMembers> pools,
+      Optional<PoolMembers> standby,
+      long now) {
     int missing = members.need - members.count;
     if (missing <= 0) {
       return;
     }
     missing = take(standby.map(found -> found.idle).orElse(List.of()), missing, members, now);
-    for (Members donor : pools.values()) {
+    for (PoolMembers donor : pools.values()) {
       missing -= lend(donor, donor.lendingFloor, members, missing, now);
     }
     int overload = members.asked - members.count;
-    for (Members donor : pools.values()) {
+    for (PoolMembers donor : pools.values()) {
       overload -= lend(donor, donor.helpingFloor, members, overload, now);
     }
   }
 
   /** Moves up to the wanted number of a pool's machines above a floor; returns how many. */
-  private int lend(Members donor, int floor, Members target, int wanted, long now) {
+  private int lend(PoolMembers donor, int floor, PoolMembers target, int wanted, long now) {
     int lent = Math.min(donor.count - floor, wanted);
     if (donor == target || donor.pool.standby() || lent <= 0) {
       return 0;
@@ -307,7 +269,7 @@
   }
 
   /** Moves up to the wanted number of machines; returns how many are still wanted. */
-  private int take(List<Machine> idle, int wanted, Members target, long now) {
+  private int take(List<Machine> idle, int wanted, PoolMembers target, long now) {
     int left = wanted;
     while (left > 0 && !idle.isEmpty()) {
       order(idle.removeLast(), target.pool.id(), now);
@@ -324,8 +286,8 @@
         "event=machine_moving machine=%s from=%s to=%s", machine.id(), machine.pool(), pool);
   }
 
-  private void returnSurplus(Map<PoolId, Members> pools, Members standby, long now) {
-    for (Members members : pools.values()) {
+  private void returnSurplus(Map<PoolId, PoolMembers> pools, PoolMembers standby, long now) {
+    for (PoolMembers members : pools.values()) {
       if (members.pool.standby() || members.count <= members.need) {
         surplusSince.remove(members.pool.id());
         continue;
@@ -355,12 +317,12 @@
     }
   }
 
-  private void report(Map<PoolId, Members> pools, Map<PoolId, PoolLoad> loads, long now) {
+  private void report(Map<PoolId, PoolMembers> pools, Map<PoolId, PoolLoad> loads, long now) {
     if (now - reportedAt < REPORT_MILLISECONDS) {
       return;
     }
     reportedAt = now;
-    for (Members members : pools.values()) {
+    for (PoolMembers members : pools.values()) {
       PoolLoad load = loads.getOrDefault(members.pool.id(), new PoolLoad());
       logger.atInfo().log(
           "event=pool_state pool=%s machines=%d idle=%d need=%d lasting_millicores=%d"
--- a/scheduling/src/test/java/org/flamingochute/scheduling/scenario/ScenarioPlayer.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/scenario/ScenarioPlayer.java
@@ -17,6 +17,7 @@
 import org.flamingochute.scheduling.fleet.Pool;
 import org.flamingochute.scheduling.fleet.Queue;
 import org.flamingochute.scheduling.fleet.Team;
+import org.flamingochute.scheduling.simulation.FaultyWorker;
 import org.flamingochute.scheduling.simulation.SimulatedFleet;
 import org.flamingochute.schema.scheduling.QueuePolicy;
 import org.flamingochute.schema.scheduling.QueuedJob;
@@ -123,7 +124,7 @@
   }
 
   private void fault(ScenarioLine line) {
-    SimulatedFleet.FaultyWorker worker = fleet().worker(line.word(1));
+    FaultyWorker worker = fleet().worker(line.word(1));
     switch (line.word(2)) {
       case "unreachable" -> worker.setReachable(false);
       case "reachable" -> worker.setReachable(true);
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -2,12 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.identity.TaskId;
@@ -45,9 +43,7 @@
   private final SimulatedMachines machines = new SimulatedMachines();
   private final Map<TaskId, Long> durations = new HashMap<>();
   private final Map<WorkerKey, Long> acknowledged = new HashMap<>();
-  private final Set<TaskId> acknowledgedDone = new HashSet<>();
-  private final Map<TaskId, Integer> starts = new HashMap<>();
-  private final Map<TaskId, String> lastWorker = new HashMap<>();
+  private final SimulatedRuns runs = new SimulatedRuns();
   private final List<DelayedStart> delayed = new ArrayList<>();
   private final List<SchedulerCommand> commands = new ArrayList<>();
   private final JobTable store = new JobTable();
@@ -88,65 +84,7 @@
 
   /** Returns a worker for faults. */
   public FaultyWorker worker(String name) {
-    return new FaultyWorker(name);
-  }
-
-  /** What can happen to a worker. */
-  public final class FaultyWorker {
-    private final SimulatedWorker worker;
-
-    private FaultyWorker(String name) {
-      worker = workers.get(name);
-    }
-
-    /** No call reaches it, or calls reach it again. */
-    public void setReachable(boolean reachable) {
-      worker.reachable = reachable;
-    }
-
-    /** The store lists it no more. */
-    public void unlist() {
-      worker.listed = false;
-      scheduler.workerUnlisted(worker.key().id());
-    }
-
-    /** It starts again and reports so. */
-    public void restart() {
-      worker.restart(now);
-      worker.listed = true;
-      scheduler.workerListed(worker.report());
-    }
-
-    /** It reports that it is going to leave. */
-    public void drain() {
-      worker.draining = true;
-      scheduler.workerListed(worker.report());
-    }
-
-    /** Every run on it fails at once. */
-    public void failEverything() {
-      worker.failsEverything = true;
-    }
-
-    /** Runs on it make no progress. */
-    public void stall() {
-      worker.stalls = true;
-    }
-
-    /** Runs on it take so many times as long. */
-    public void slowDown(long factor) {
-      worker.slowness = factor;
-    }
-
-    /** It carries out the next start, but the answer is lost. */
-    public void loseNextStartAnswer() {
-      worker.losesNextStartAnswer = true;
-    }
-
-    /** It answers nothing to the next start and carries it out later. */
-    public void delayNextStart(long milliseconds) {
-      worker.delaysNextStart = milliseconds;
-    }
+    return new FaultyWorker(workers.get(name), scheduler, now);
   }
 
   /** Hands a job in. */
@@ -210,7 +148,7 @@
     scheduler.decide(now, now);
     scheduler.takeImmediate().forEach(this::carryOut);
     record();
-    check();
+    SimulatedRuns.checkOverlaps(workers.values(), now);
   }
 
   private void listMachines() {
@@ -255,7 +193,7 @@
     for (FinishedTask end : listing.finished()) {
       boolean noted = end.number() <= last && end.reason() == EndReason.DONE;
       if (noted && !isLasting(end.task())) {
-        acknowledgedDone.add(end.task());
+        runs.acknowledged(end.task());
       }
     }
   }
@@ -360,11 +298,7 @@
             start.task(), start.attempt(), durations.getOrDefault(start.task(), 100L));
     StartOutcome outcome = worker.start(start, token, now + settings.leaseMilliseconds(), run);
     if (outcome == StartOutcome.STARTED) {
-      starts.merge(start.task(), 1, Integer::sum);
-      lastWorker.put(start.task(), worker.name);
-      if (acknowledgedDone.contains(start.task())) {
-        throw new AssertionError(start.task() + " starts after its end was acknowledged");
-      }
+      runs.started(start.task(), worker.name);
     }
     return outcome;
   }
@@ -376,19 +310,6 @@
     scheduler.stopAnswered(stop, carriedOut, now);
   }
 
-  private void check() {
-    Map<TaskId, String> running = new HashMap<>();
-    for (SimulatedWorker worker : workers.values()) {
-      for (SimulatedWorker.Run run : worker.runs()) {
-        String other = running.put(run.task, worker.name);
-        if (other != null) {
-          throw new AssertionError(
-              run.task + " runs on " + other + " and on " + worker.name + " at " + now);
-        }
-      }
-    }
-  }
-
   /** Returns how far a job is. */
   public JobPhase phase(JobId id) {
     return store.find(id).orElseThrow().phase();
@@ -396,12 +317,12 @@
 
   /** Returns how often a task was started. */
   public int startsOf(TaskId task) {
-    return starts.getOrDefault(task, 0);
+    return runs.startsOf(task);
   }
 
   /** Returns the worker that a task was started on last. */
   public String lastWorkerOf(TaskId task) {
-    return lastWorker.getOrDefault(task, "none");
+    return runs.lastWorkerOf(task);
   }
 
   /** Returns the number of tasks that run on a worker. */
