Refuse jobs that the store cannot hold; drop settings that nothing reads

Cause: found by reading a job through the code. The progress of all tasks of a job is one record; a job could have 10,000 tasks, about 500 KB, and the store takes 262,144 bytes a record. An append that is refused for its size counts as unknown and is repeated, so one such job would hold up the schedule; that it does was not played. Five settings (call_bytes, advice_address, heartbeat_milliseconds, operations_per_second, remote_penalty) were checked and never read; JobTable.clear had no caller. Change: JobLimits derives the most tasks (over all repetitions) and the largest definition from record_bytes; beyond them 400 naming the field, or 413. The settings page gets the node's sections from the schema, by the test that writes the others. NodeProcessTest.jobThatDoesNotFitTheStoreIsRefusedAndHarmsNoOther: 200 before, 400 after. NodeProcessTest, SubmissionCodecTest, JobTableTest and GeneratedPagesTest pass.

--- a/decision/src/test/java/org/flamingochute/decision/documentation/GeneratedPagesTest.java
+++ b/decision/src/test/java/org/flamingochute/decision/documentation/GeneratedPagesTest.java
@@ -15,6 +15,7 @@
 import org.flamingochute.schema.EndpointStandInSettings;
 import org.flamingochute.schema.EntrySettings;
 import org.flamingochute.schema.FleetDescription;
+import org.flamingochute.schema.NodeSettings;
 import org.flamingochute.schema.StandInSettings;
 import org.flamingochute.schema.TrafficSettings;
 import org.junit.jupiter.api.Test;
@@ -54,6 +55,7 @@
   @Test
   void settingsPageIsCurrent() throws IOException {
     StringBuilder page = new StringBuilder(SETTINGS_HEAD);
+    appendSettings(page, "Node", NodeSettings.getDefaultInstance());
     appendSettings(page, "Entry", EntrySettings.getDefaultInstance());
     appendSettings(page, "Load tool", TrafficSettings.getDefaultInstance());
     appendSettings(page, "Platform stand-in", StandInSettings.getDefaultInstance());
--- a/node/src/main/java/org/flamingochute/node/front/FrontParts.java
+++ b/node/src/main/java/org/flamingochute/node/front/FrontParts.java
@@ -9,12 +9,13 @@
 /**
  * What the front works with.
  *
- * @param loop event loop of all its work
+ * @param loop event loop of its servers
  * @param clock clocks of the process
  * @param state what the store holds
  * @param intake appends what callers hand in
  * @param knowledge age of what is known of the jobs
  * @param metrics counters and latencies
+ * @param jobLimits largest job that the store can hold
  */
 public record FrontParts(
     Eventloop loop,
@@ -22,4 +23,5 @@
     FleetState state,
     IntakeWriter intake,
     JobKnowledge knowledge,
-    NodeMetrics metrics) {}
+    NodeMetrics metrics,
+    JobLimits jobLimits) {}
--- a/node/src/main/java/org/flamingochute/node/front/JobServlet.java
+++ b/node/src/main/java/org/flamingochute/node/front/JobServlet.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.activej.bytebuf.ByteBuf;
-import io.activej.eventloop.Eventloop;
 import io.activej.http.AsyncServlet;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
@@ -44,24 +43,24 @@
 
   private static final long RETRY_SECONDS = 1;
 
-  private final Eventloop loop;
   private final NodeClock clock;
   private final FleetState state;
   private final CallAuthorization authorization;
   private final IntakeWriter intake;
   private final JobKnowledge knowledge;
   private final NodeMetrics metrics;
+  private final JobLimits limits;
   private boolean closing;
   private int underWay;
 
   JobServlet(FrontParts parts, CallAuthorization authorization) {
-    this.loop = parts.loop();
     this.clock = parts.clock();
     this.state = parts.state();
     this.authorization = authorization;
     this.intake = parts.intake();
     this.knowledge = parts.knowledge();
     this.metrics = parts.metrics();
+    this.limits = parts.jobLimits();
   }
 
   /** Asks callers from now on to close their connections after the answer. */
@@ -277,6 +276,15 @@
     } catch (WireException e) {
       return Promise.of(Answer.refused(Answer.BAD_REQUEST, e.getMessage()));
     }
+    if (job.getSerializedSize() > limits.maximumDefinitionBytes()) {
+      return Promise.of(
+          Answer.refused(
+              Answer.TOO_LARGE,
+              "the job takes "
+                  + job.getSerializedSize()
+                  + " bytes, more than "
+                  + limits.maximumDefinitionBytes()));
+    }
     KeyedValue record = new KeyedValue(ScheduleKeys.job(id), job.toByteArray());
     return append(record, patience(request, call.get(), began))
         .map(
@@ -289,7 +297,7 @@
   }
 
   private QueuedJob jobOf(byte[] body, CallAuthorization.Authorized call) throws WireException {
-    return SubmissionCodec.read(body)
+    return SubmissionCodec.read(body, limits.maximumTasks())
         .setQueue(call.queue().id().value())
         .setOrganisation(call.team().map(TeamId::value).orElse(""))
         .setAcceptedMilliseconds(clock.timeOfDay())
--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -15,6 +15,7 @@
 import org.flamingochute.node.front.FrontAddresses;
 import org.flamingochute.node.front.FrontParts;
 import org.flamingochute.node.front.JobKnowledge;
+import org.flamingochute.node.front.JobLimits;
 import org.flamingochute.node.leadership.LeadershipParts;
 import org.flamingochute.node.leadership.SchedulerLeadership;
 import org.flamingochute.node.store.IntakeWriter;
@@ -167,7 +168,8 @@
                 state,
                 new IntakeWriter(loop, clock, store),
                 new JobKnowledge(intake, schedule, JOB_KNOWLEDGE_MILLISECONDS),
-                metrics),
+                metrics,
+                new JobLimits(settings.getStore().getRecordBytes())),
             declarations,
             settings.getBounds().getKeyRevocationMilliseconds() - KEY_MARGIN_MILLISECONDS,
             frontAddresses(),
--- a/scheduling/src/main/java/org/flamingochute/scheduling/job/JobTable.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/job/JobTable.java
@@ -85,12 +85,6 @@
     return sorted;
   }
 
-  /** Forgets everything, before all records are read again. */
-  public void clear() {
-    entries.clear();
-    queuedCounts.clear();
-  }
-
   private JobEntry entryOf(JobId id) {
     return entries.computeIfAbsent(id, JobEntry::new);
   }
--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeCluster.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeCluster.java
@@ -79,8 +79,6 @@
             address = %s
             [fleet_services]
             machines_address = %s
-            heartbeat_milliseconds = 500
-            operations_per_second = 50
             [bounds]
             maximum_lease_milliseconds = 10000
             key_revocation_milliseconds = 5000
--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeProcessTest.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeProcessTest.java
@@ -185,6 +185,19 @@
     }
   }
 
+  /** The progress of all tasks is one record, and the store limits the size of records. */
+  @Test
+  void jobThatDoesNotFitTheStoreIsRefusedAndHarmsNoOther() throws Exception {
+    WorkPayload nothing = new WorkPayload(10, 0, "clubs", 0, false);
+    try (NodeCluster cluster = new NodeCluster(folder, 1)) {
+      cluster.submitUntilAccepted(0, KEY, JOB, work(10), 1);
+      int status = statusOf(cluster.submit(0, KEY, LATER_JOB, nothing, 9_000));
+      cluster.submitUntilAccepted(0, KEY, "00000000000000a5", work(10), 1);
+      cluster.waitForState(0, "00000000000000a5", "completed");
+      assertThat(status, is(400));
+    }
+  }
+
   @Test
   void storeThatComesBackIsUsedAgain() throws Exception {
     try (NodeCluster cluster = new NodeCluster(folder, 1)) {
