--- a/review/standin/World.java
+++ b/review/standin/World.java
@@ -305,7 +305,7 @@
       try {
         node.process.waitFor(5, TimeUnit.SECONDS);
         for (String line : Files.readAllLines(node.log)) {
-          if (line.matches(".*event=(leadership|run_over|tasks_placed|start_not|stray|worker_|call_answered|dependency|job_ended|uncaught|machine_|wave_|upkeep).*")) {
+          if (line.matches(".*event=(leadership|run_over|tasks_placed|start_not|stray|worker_|call_answered|dependency|job_ended|uncaught|machine_|wave_|upkeep|topic_loaded|ready).*")) {
             record.line("log of " + node.name + ": " + line);
           }
         }
