Let a restarted worker's own lists decide which runs it has

Cause: commands name a worker's id, not its incarnation, so a start that was sent to the former incarnation can be executed by the new one. The leader took a new start time as proof that every run on the worker had ended.

The starts arrive at the new incarnation; 0.9 s later the leader logs run_over cause=worker_started_again for the same attempts and starts attempt 2 on other workers.

Ruled out: sending starts without the HTTP client's retry. A connection that is opened while the worker is down reaches the new incarnation, too.

Change: a new incarnation takes over each run whose start was sent, and only its status, requested afterwards, or a confirmed stop ends the run. The lease counts as the longest that workers accept, since the deadline of a start is on the former clock. The same proof is changed where a status shows the new incarnation, where a new leader restores runs, where a start is refused as superseded, and where finished runs are acknowledged by number. The registry of workers holds one incarnation of each worker.

--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
@@ -174,7 +174,7 @@
             monitor.predecessorLastRecordAt(),
             now);
     poolHistory.ifPresent(scheduler::restorePoolHistory);
-    state.workers().forEach(scheduler::onWorkerListed);
+    state.workers().forEach(report -> scheduler.onWorkerListed(report, now));
     state.unlistedWorkers().forEach(scheduler::restoreUnlistedWorker);
     for (StoredJob job : state.jobs().jobsByAcceptance()) {
       scheduler.onJobStored(job, now, wallClockMilliseconds);
@@ -284,7 +284,8 @@
 
   @Override
   public void onWorkerListed(WorkerReport report) {
-    updateScheduler(scheduler -> scheduler.onWorkerListed(report));
+    long now = dependencies.clock().steadyMilliseconds();
+    updateScheduler(scheduler -> scheduler.onWorkerListed(report, now));
   }
 
   @Override
--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
@@ -38,9 +38,8 @@
   private final LeadershipContext leadership;
   private final Scheduler scheduler;
   private final WorkerClockEstimate workerClock = new WorkerClockEstimate();
+  private final FinishedRunCursor finishedRuns = new FinishedRunCursor();
   private WorkerReport worker;
-  private long acknowledgedNumber;
-  private long lastListedNumber;
   private long retryDelayMilliseconds = MINIMUM_RETRY_DELAY_MILLISECONDS;
   private boolean stopped;
   private boolean waitingForRecording;
@@ -87,8 +86,9 @@
     // other workers, so a renewal without a deadline only requests such a worker's status.
     boolean extending = workerClock.isKnown() && !scheduler.isUnreachable(worker.key());
     long deadline = extending ? leaseDeadline(sentAt) : 0;
-    boolean hasUnacknowledgedRuns = lastListedNumber > acknowledgedNumber;
-    long longPollMilliseconds = extending && !hasUnacknowledgedRuns ? LONG_POLL_MILLISECONDS : 0;
+    boolean mayWait = extending && !finishedRuns.hasUnrecorded();
+    long longPollMilliseconds = mayWait ? LONG_POLL_MILLISECONDS : 0;
+    long acknowledgement = finishedRuns.nextAcknowledgement();
     if (extending) {
       scheduler.onLeaseSent(worker.key(), sentAt);
     }
@@ -97,17 +97,17 @@
             worker,
             deadline,
             leadership.epoch(),
-            acknowledgedNumber,
+            acknowledgement,
             longPollMilliseconds,
             longPollMilliseconds + RENEWAL_TIMEOUT_MARGIN_MILLISECONDS)
-        .thenAccept(result -> onRenewalResult(result, sentAt));
+        .thenAccept(result -> onRenewalResult(result, sentAt, acknowledgement));
   }
 
   private long leaseDeadline(long now) {
     return workerClock.isKnown() ? workerClock.estimateAt(now) + leadership.leaseMilliseconds() : 0;
   }
 
-  private void onRenewalResult(LeaseRenewalOutcome result, long sentAt) {
+  private void onRenewalResult(LeaseRenewalOutcome result, long sentAt, long acknowledgement) {
     if (stopped) {
       return;
     }
@@ -115,6 +115,7 @@
       case LeaseRenewalOutcome.Renewed renewed -> {
         retryDelayMilliseconds = MINIMUM_RETRY_DELAY_MILLISECONDS;
         workerClock.observe(renewed.status().clockMilliseconds(), clock.steadyMilliseconds());
+        finishedRuns.onRenewed(acknowledgement, renewed.status().finished());
         scheduler.onLeaseRenewed(
             worker.key(),
             renewed.status(),
@@ -139,27 +140,23 @@
   }
 
   private void continueAfter(LeaseRenewalOutcome.Renewed renewed) {
-    if (renewed.status().finished().isEmpty()) {
-      renew();
-      return;
-    }
-    lastListedNumber = renewed.status().finished().getLast().number();
-    if (lastListedNumber <= acknowledgedNumber) {
+    if (renewed.status().finished().isEmpty() || !finishedRuns.hasUnrecorded()) {
       renew();
       return;
     }
     waitingForRecording = true;
-    long expectedNumber = lastListedNumber;
+    long expectedNumber = finishedRuns.lastListed();
     loop.delay(
         RECORDING_TIMEOUT_MILLISECONDS,
         () -> {
-          if (waitingForRecording && lastListedNumber == expectedNumber) {
+          if (waitingForRecording && finishedRuns.lastListed() == expectedNumber) {
             renew();
           }
         });
   }
 
   private void retry() {
+    finishedRuns.onRenewalFailed();
     long delay = retryDelayMilliseconds;
     retryDelayMilliseconds = Math.min(MAXIMUM_RETRY_DELAY_MILLISECONDS, 2 * retryDelayMilliseconds);
     loop.delay(delay, this::renew);
@@ -167,8 +164,8 @@
 
   /** Acknowledges finished runs up to the given number with the next renewal. */
   void acknowledge(long number) {
-    acknowledgedNumber = Math.max(acknowledgedNumber, number);
-    if (waitingForRecording && acknowledgedNumber >= lastListedNumber) {
+    finishedRuns.onRecorded(number);
+    if (waitingForRecording && !finishedRuns.hasUnrecorded()) {
       renew();
     }
   }
--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -206,6 +206,7 @@
     BoundSection bounds = settings.getBounds();
     return SchedulerSettings.builder()
         .leaseMilliseconds(Math.min(LEASE_MILLISECONDS, bounds.getMaximumLeaseMilliseconds()))
+        .maximumLeaseMilliseconds(bounds.getMaximumLeaseMilliseconds())
         .statusRetentionMilliseconds(toMilliseconds(bounds.getStatusRetentionSeconds()))
         .fenceMilliseconds(bounds.getMachineFenceMilliseconds())
         .interferenceMilliseconds(bounds.getInterferenceMilliseconds())
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
@@ -46,8 +46,9 @@
   }
 
   private Optional<Task> findCurrentRun(WorkerKey workerKey, TaskId id, int attempt) {
+    // The run may have been transferred to a newer incarnation after the command was sent.
     return workers
-        .find(workerKey)
+        .find(workerKey.id())
         .map(found -> found.tasks.get(id))
         .filter(task -> task.attempt == attempt);
   }
@@ -69,7 +70,9 @@
     }
     Task task = found.get();
     switch (outcome) {
-      case STARTED -> {
+      // A superseded start has run and ended, or was stopped before: the worker's next status
+      // tells.
+      case STARTED, SUPERSEDED -> {
         task.runState = Task.RunState.RUNNING;
         task.confirmedAt = now;
       }
@@ -82,7 +85,7 @@
         task.worker.ifPresent(worker -> worker.unreachable = true);
         lifecycle.release(task, "not_run");
       }
-      case GONE -> workerTracker.endIncarnation(task.worker.orElseThrow(), "worker_replaced");
+      case GONE -> workerTracker.endWorker(task.worker.orElseThrow(), "worker_replaced");
       case MALFORMED ->
           lifecycle.onRunEnded(task, EndReason.FAILED, "", now, wallClockMilliseconds);
       case NO_ROOM -> {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/MaintenanceOrder.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/MaintenanceOrder.java
@@ -66,7 +66,7 @@
     return machines
         .find(machine)
         .flatMap(Machine::worker)
-        .flatMap(workers::newest)
+        .flatMap(workers::find)
         .map(worker -> worker.usedCapacity().dominantShare(worker.report.capacity()))
         .orElse(0.0);
   }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -197,7 +197,7 @@
     if (pool.standby()) {
       return true;
     }
-    Optional<Worker> worker = machine.worker().flatMap(workers::newest);
+    Optional<Worker> worker = machine.worker().flatMap(workers::find);
     return worker.isPresent() && worker.get().isSchedulable() && worker.get().tasks.isEmpty();
   }
 
@@ -290,7 +290,7 @@
       machines
           .find(machine)
           .flatMap(Machine::worker)
-          .flatMap(workers::newest)
+          .flatMap(workers::find)
           .filter(worker -> !worker.report.pool().equals(moves.get(machine).pool()))
           .ifPresent(worker -> worker.cordoned = true);
     }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -190,7 +190,8 @@
     switch (recorded.getPhase()) {
       case DONE -> task.occurrence.markTaskDone(task.id.step());
       case ASSIGNED ->
-          lifecycle.restoreAssignment(task, workerTracker.findOrAddWorker(recorded, job.pool), now);
+          lifecycle.restoreAssignment(
+              task, workerTracker.findOrAddWorker(recorded, job.pool, now), now);
       default -> task.phase = TaskProgress.Phase.WAITING;
     }
   }
@@ -215,8 +216,8 @@
   }
 
   /** Applies the report of a listed worker. */
-  public void onWorkerListed(WorkerReport report) {
-    workerTracker.onWorkerListed(report);
+  public void onWorkerListed(WorkerReport report, long now) {
+    workerTracker.onWorkerListed(report, now);
   }
 
   /** Marks a worker as no longer listed in the store. */
@@ -252,7 +253,7 @@
   /**
    * Handles a failed lease renewal.
    *
-   * @param gone true when another incarnation answered at the worker's address
+   * @param gone true when a worker with another id answered at the worker's address
    */
   public void onRenewalFailed(WorkerKey key, boolean gone, String cause) {
     workerTracker.onRenewalFailed(key, gone, cause);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerSettings.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerSettings.java
@@ -3,6 +3,7 @@
 /** Durations and deadlines of the scheduler, in milliseconds. */
 public final class SchedulerSettings {
   private final long leaseMilliseconds;
+  private final long maximumLeaseMilliseconds;
   private final long renewalWithoutStoreMilliseconds;
   private final long statusRetentionMilliseconds;
   private final long fenceMilliseconds;
@@ -13,6 +14,7 @@
 
   private SchedulerSettings(Builder builder) {
     leaseMilliseconds = builder.leaseMilliseconds;
+    maximumLeaseMilliseconds = builder.maximumLeaseMilliseconds;
     renewalWithoutStoreMilliseconds = builder.renewalWithoutStoreMilliseconds;
     statusRetentionMilliseconds = builder.statusRetentionMilliseconds;
     fenceMilliseconds = builder.fenceMilliseconds;
@@ -80,7 +82,21 @@
 
   /** Returns the time after a renewal at which its lease has certainly expired. */
   public long leaseExpiryMilliseconds() {
-    return leaseMilliseconds + leaseMilliseconds / CLOCK_ERROR_DIVISOR + TASK_STOP_MILLISECONDS;
+    return expiryMilliseconds(leaseMilliseconds);
+  }
+
+  /**
+   * Returns the time after which every lease has certainly expired that a new incarnation of a
+   * worker has received through commands to the former one. These may still be on their way, and
+   * their deadlines are on the clock of the former incarnation, so that the new one limits them to
+   * the longest lease only.
+   */
+  public long restartedLeaseMilliseconds() {
+    return COMMAND_DELIVERY_MILLISECONDS + expiryMilliseconds(maximumLeaseMilliseconds);
+  }
+
+  private static long expiryMilliseconds(long lease) {
+    return lease + lease / CLOCK_ERROR_DIVISOR + TASK_STOP_MILLISECONDS;
   }
 
   /** A worker's clock may be 2 % slow; 1/40 leaves a margin. */
@@ -89,9 +105,13 @@
   /** Time within which a worker stops its tasks after the lease has expired. */
   private static final long TASK_STOP_MILLISECONDS = 300;
 
+  /** Time within which a command to a worker arrives or its connection is closed. */
+  private static final long COMMAND_DELIVERY_MILLISECONDS = 2_000;
+
   /** Builds settings. */
   public static final class Builder {
     private long leaseMilliseconds = 3_500;
+    private long maximumLeaseMilliseconds = 10_000;
     private long renewalWithoutStoreMilliseconds = 5_500;
     private long statusRetentionMilliseconds = 120_000;
     private long fenceMilliseconds = 3_000;
@@ -108,6 +128,12 @@
       return this;
     }
 
+    /** Sets the longest lease that a worker accepts; it shortens longer ones. */
+    public Builder maximumLeaseMilliseconds(long value) {
+      maximumLeaseMilliseconds = value;
+      return this;
+    }
+
     /** Sets how long leases are still renewed after the last response of the store. */
     public Builder renewalWithoutStoreMilliseconds(long value) {
       renewalWithoutStoreMilliseconds = value;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/StartOutcome.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/StartOutcome.java
@@ -18,7 +18,7 @@
   NOT_RUN,
   /** The command is malformed. */
   MALFORMED,
-  /** Another incarnation answered at the worker's address. */
+  /** A worker with another id answered at the worker's address. */
   GONE,
   /** No response, or an unexpected one; the worker may have started the task. */
   UNKNOWN
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -15,9 +15,12 @@
  *
  * <p>An assigned task counts against its worker's capacity and its team's cap until its run has
  * certainly ended. Proof is one of: the start command was not sent or was refused; the worker lists
- * the run as finished; a status, requested after the worker had the run, does not contain it; the
- * worker's lease has expired; a new incarnation of the worker has started; or another worker has
- * started at its address.
+ * the run as finished; a status of the worker's newest incarnation, requested after the start was
+ * answered or its stop was confirmed, does not contain the run; the worker's lease has expired; or
+ * another worker has started at its address.
+ *
+ * <p>A new incarnation of the worker is no proof by itself: it may have executed a start that was
+ * sent to the former one.
  */
 final class TaskLifecycle {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -101,6 +104,28 @@
     removeFromWorker(task);
   }
 
+  /**
+   * Moves an assigned task to a new incarnation of its worker, which may have executed the task's
+   * start or may still do so. Only a start that was not sent cannot have reached it.
+   */
+  void transferToIncarnation(Task task, Worker successor, long now) {
+    if (task.runState == Task.RunState.RECORDING) {
+      release(task, "worker_started_again");
+      return;
+    }
+    removeFromWorker(task);
+    addToWorker(task, successor);
+    outbox.markChanged(task.job);
+    if (task.runState == Task.RunState.RUNNING) {
+      // A confirmation says nothing of the new incarnation; its next status does.
+      task.confirmedAt = now;
+    } else if (task.runState == Task.RunState.STOPPING) {
+      // The former incarnation may have confirmed the stop.
+      task.confirmedAt = Long.MAX_VALUE;
+      resendStop(task, now);
+    }
+  }
+
   /** Returns an assigned task to the waiting state; its run must certainly have ended. */
   void release(Task task, String cause) {
     logger.atInfo().log(
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveController.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveController.java
@@ -199,7 +199,7 @@
   }
 
   private Optional<Worker> workerOn(MachineId machine) {
-    return machines.find(machine).flatMap(Machine::worker).flatMap(workers::newest);
+    return machines.find(machine).flatMap(Machine::worker).flatMap(workers::find);
   }
 
   private void startMaintenance(Wave wave, MachineId machine, long now) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
@@ -54,7 +54,7 @@
             || key.startedMilliseconds() == 0
             || status.startedMilliseconds() == key.startedMilliseconds();
     if (!sameIncarnation) {
-      workerTracker.endIncarnation(worker, "worker_started_again");
+      workerTracker.onIncarnationObserved(worker, status.startedMilliseconds(), now);
       return;
     }
     if (!worker.leaseConfirmed || worker.unreachable) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
@@ -16,8 +16,8 @@
  * Tracks the workers, and for each one the time until which tasks may still run on it.
  *
  * <p>The tasks of a worker that does not respond stay assigned to it until they have certainly
- * ended: its lease has expired, it has restarted, or another worker is listed or responds at its
- * address.
+ * ended: its lease has expired, its new incarnation does not list them, or another worker is listed
+ * or responds at its address.
  */
 final class WorkerTracker {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -40,18 +40,33 @@
     this.inheritedLeasesExpireAt = inheritedLeasesExpireAt;
   }
 
-  /** Returns the worker that a recorded run was assigned to; it may no longer be listed. */
-  Worker findOrAddWorker(TaskProgress recorded, PoolId pool) {
+  /**
+   * Returns the worker that a recorded run was assigned to; it may no longer be listed.
+   *
+   * <p>If the record and the store name different incarnations, the newer one has replaced the
+   * other, and its lists tell whether it has executed the recorded start.
+   */
+  Worker findOrAddWorker(TaskProgress recorded, PoolId pool, long now) {
     WorkerKey key =
         new WorkerKey(new InstanceId(recorded.getWorker()), recorded.getWorkerBornMilliseconds());
-    Optional<Worker> knownWorker = workers.find(key);
-    if (knownWorker.isPresent()) {
-      return knownWorker.get();
-    }
-    WorkerReport unlisted =
-        new WorkerReport(
-            key, pool, "", new DataCentreId("unknown"), ResourceVector.ZERO, List.of(), true);
-    Worker worker = new Worker(unlisted, inheritedLeasesExpireAt);
+    Optional<Worker> known = workers.find(key.id());
+    if (known.isEmpty()) {
+      return addUnlisted(
+          new WorkerReport(
+              key, pool, "", new DataCentreId("unknown"), ResourceVector.ZERO, List.of(), true));
+    }
+    Worker worker = known.get();
+    if (worker.key.startedMilliseconds() < key.startedMilliseconds()) {
+      return replaceIncarnation(worker, worker.report.ofIncarnation(key), false, now);
+    }
+    if (worker.key.startedMilliseconds() > key.startedMilliseconds()) {
+      extendLeaseOfRestarted(worker, now);
+    }
+    return worker;
+  }
+
+  private Worker addUnlisted(WorkerReport report) {
+    Worker worker = new Worker(report, inheritedLeasesExpireAt);
     worker.listed = false;
     workers.add(worker);
     return worker;
@@ -59,12 +74,9 @@
 
   /** Restores a worker that is no longer listed but may still run tasks, from its last report. */
   void restoreUnlistedWorker(WorkerReport report) {
-    if (workers.newest(report.key().id()).isPresent() || isAddressTaken(report)) {
-      return;
+    if (workers.find(report.key().id()).isEmpty() && !isAddressTaken(report)) {
+      addUnlisted(report);
     }
-    Worker worker = new Worker(report, inheritedLeasesExpireAt);
-    worker.listed = false;
-    workers.add(worker);
   }
 
   private boolean isAddressTaken(WorkerReport report) {
@@ -79,44 +91,79 @@
   /** Ends other workers at the same address: a new worker there proves that they have ended. */
   private void endReplacedWorkers(WorkerReport report) {
     for (Worker otherWorker : List.copyOf(workers.all())) {
-      boolean sharesAddress =
-          otherWorker.report.address().equals(report.address())
-              && !otherWorker.key.equals(report.key());
-      if (sharesAddress) {
-        endIncarnation(otherWorker, "address_reused");
+      if (otherWorker.report.address().equals(report.address())) {
+        endWorker(otherWorker, "address_reused");
       }
     }
   }
 
   /** Applies the report of a listed worker. */
-  void onWorkerListed(WorkerReport report) {
-    Optional<Worker> newest = workers.newest(report.key().id());
-    if (newest.isPresent() && !newest.get().key.equals(report.key())) {
-      if (report.key().startedMilliseconds() < newest.get().key.startedMilliseconds()) {
-        return;
-      }
-      endIncarnation(newest.get(), "worker_started_again");
+  void onWorkerListed(WorkerReport report, long now) {
+    Optional<Worker> known = workers.find(report.key().id());
+    if (known.isEmpty()) {
+      endReplacedWorkers(report);
+      workers.add(new Worker(report, inheritedLeasesExpireAt));
+      logger.atInfo().log(
+          "event=worker_listed worker=%s pool=%s draining=%s",
+          report.key(), report.pool(), report.draining());
+      return;
     }
-    Optional<Worker> knownWorker = workers.find(report.key());
-    if (knownWorker.isPresent()) {
-      if (!knownWorker.get().report.draining() && report.draining()) {
-        logger.atInfo().log("event=worker_draining worker=%s", report.key());
-      }
-      knownWorker.get().report = report;
-      knownWorker.get().listed = true;
+    Worker worker = known.get();
+    if (report.key().startedMilliseconds() < worker.key.startedMilliseconds()) {
+      logger.atInfo().log(
+          "event=worker_report_outdated worker=%s newest=%s", report.key(), worker.key);
+      return;
+    }
+    if (!report.key().equals(worker.key)) {
+      replaceIncarnation(worker, report, true, now);
       return;
     }
-    endReplacedWorkers(report);
-    workers.add(new Worker(report, inheritedLeasesExpireAt));
+    if (!worker.report.draining() && report.draining()) {
+      logger.atInfo().log("event=worker_draining worker=%s", report.key());
+    }
+    worker.report = report;
+    worker.listed = true;
+  }
+
+  /**
+   * Handles a response from another incarnation of a worker, which may not be listed yet.
+   *
+   * @param startedMilliseconds start time of the incarnation that responded
+   */
+  void onIncarnationObserved(Worker worker, long startedMilliseconds, long now) {
+    WorkerKey key = new WorkerKey(worker.key.id(), startedMilliseconds);
+    replaceIncarnation(worker, worker.report.ofIncarnation(key), false, now);
+  }
+
+  /**
+   * Replaces an incarnation of a worker by another one, which takes over all runs whose start may
+   * have reached it: commands name the worker but not its incarnation, and are delivered on new
+   * connections too. Its own lists then tell which of the runs it has.
+   */
+  private Worker replaceIncarnation(Worker former, WorkerReport report, boolean listed, long now) {
     logger.atInfo().log(
-        "event=worker_listed worker=%s pool=%s draining=%s",
-        report.key(), report.pool(), report.draining());
+        "event=worker_started_again worker=%s former=%s listed=%s tasks=%d",
+        report.key(), former.key, listed, former.tasks.size());
+    Worker successor = new Worker(report, former.leaseExpiresAt);
+    successor.listed = listed;
+    extendLeaseOfRestarted(successor, now);
+    workers.remove(former);
+    workers.add(successor);
+    for (Task task : List.copyOf(former.tasks.values())) {
+      lifecycle.transferToIncarnation(task, successor, now);
+    }
+    return successor;
+  }
+
+  private void extendLeaseOfRestarted(Worker worker, long now) {
+    worker.leaseExpiresAt =
+        Math.max(worker.leaseExpiresAt, now + settings.restartedLeaseMilliseconds());
   }
 
   /** Marks a worker as no longer listed in the store. */
   void onWorkerUnlisted(InstanceId id) {
     workers
-        .newest(id)
+        .find(id)
         .ifPresent(
             worker -> {
               worker.listed = false;
@@ -125,8 +172,8 @@
             });
   }
 
-  /** Removes an incarnation of a worker and releases its tasks, none of which runs any more. */
-  void endIncarnation(Worker worker, String cause) {
+  /** Removes a worker that has ended and releases its tasks, none of which runs any more. */
+  void endWorker(Worker worker, String cause) {
     for (Task task : List.copyOf(worker.tasks.values())) {
       lifecycle.release(task, cause);
     }
@@ -163,7 +210,7 @@
   /**
    * Handles a failed lease renewal.
    *
-   * @param gone true when another incarnation answered at the worker's address
+   * @param gone true when a worker with another id answered at the worker's address
    */
   void onRenewalFailed(WorkerKey key, boolean gone, String cause) {
     Optional<Worker> found = workers.find(key);
@@ -171,7 +218,7 @@
       return;
     }
     if (gone) {
-      endIncarnation(found.get(), "worker_replaced");
+      endWorker(found.get(), "worker_replaced");
       return;
     }
     if (!found.get().unreachable) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/worker/WorkerReport.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/worker/WorkerReport.java
@@ -33,6 +33,11 @@
     labels = List.copyOf(labels);
   }
 
+  /** Returns a copy of this report for another incarnation of the same worker. */
+  public WorkerReport ofIncarnation(WorkerKey incarnation) {
+    return new WorkerReport(incarnation, pool, address, dataCentre, capacity, labels, draining);
+  }
+
   /** Returns the rack, or empty if the worker does not report it. */
   public Optional<String> rack() {
     return labels.size() > RACK_LABEL ? Optional.of(labels.get(RACK_LABEL)) : Optional.empty();
--- a/scheduling/src/test/java/org/flamingochute/scheduling/scenario/ScenarioExecutor.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/scenario/ScenarioExecutor.java
@@ -131,6 +131,8 @@
       case "reachable" -> worker.setReachable(true);
       case "unlisted" -> worker.unlist();
       case "restarted" -> worker.restart();
+      case "restarts-before-start" -> worker.restartBeforeNextStart();
+      case "listed" -> worker.list();
       case "draining" -> worker.startDraining();
       case "fails" -> worker.failAllRuns();
       case "stalls" -> worker.stallRuns();
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -22,6 +22,7 @@
 import org.flamingochute.scheduling.worker.EndReason;
 import org.flamingochute.scheduling.worker.FinishedTask;
 import org.flamingochute.scheduling.worker.WorkerKey;
+import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.scheduling.worker.WorkerStatus;
 import org.flamingochute.schema.scheduling.QueuedJob;
 
@@ -34,9 +35,11 @@
 public final class SimulatedFleet {
   private static final long STEP_DURATION_MILLISECONDS = 10;
   private static final long RENEWAL_INTERVAL_MILLISECONDS = 100;
+  private static final long MAXIMUM_LEASE_MILLISECONDS = 10_000;
   private static final long MACHINE_LIST_INTERVAL_MILLISECONDS = 250;
 
-  private final SchedulerSettings settings = SchedulerSettings.builder().build();
+  private final SchedulerSettings settings =
+      SchedulerSettings.builder().maximumLeaseMilliseconds(MAXIMUM_LEASE_MILLISECONDS).build();
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
   private final SimulatedMachines machines = new SimulatedMachines();
   private final Map<TaskId, Long> durations = new HashMap<>();
@@ -69,7 +72,7 @@
   public void addWorker(String name, PoolId pool, ResourceVector capacity, List<String> labels) {
     SimulatedWorker worker = new SimulatedWorker(name, pool, capacity, labels, now);
     workers.put(name, worker);
-    scheduler.onWorkerListed(worker.report());
+    scheduler.onWorkerListed(worker.report(), now);
   }
 
   /** Adds a machine with a worker of the same name. */
@@ -118,7 +121,7 @@
     scheduler = new Scheduler(settings, declaration, predecessor, now, now);
     for (SimulatedWorker worker : workers.values()) {
       if (worker.listed) {
-        scheduler.onWorkerListed(worker.report());
+        scheduler.onWorkerListed(worker.report(), now);
       } else {
         scheduler.restoreUnlistedWorker(worker.report());
       }
@@ -168,27 +171,46 @@
   }
 
   private void renew(SimulatedWorker worker) {
-    boolean isNeeded =
-        scheduler.workersToRenew().stream().anyMatch(report -> report.key().equals(worker.key()));
-    if (!isNeeded) {
+    Optional<WorkerKey> addressee = incarnationKnownToScheduler(worker);
+    if (addressee.isEmpty()) {
       return;
     }
-    boolean extending = !scheduler.isUnreachable(worker.key());
+    WorkerKey key = addressee.get();
+    boolean extending = !scheduler.isUnreachable(key);
     if (extending) {
-      scheduler.onLeaseSent(worker.key(), now);
+      scheduler.onLeaseSent(key, now);
     }
     if (!worker.reachable) {
-      scheduler.onRenewalFailed(worker.key(), false, "no answer");
+      scheduler.onRenewalFailed(key, false, "no answer");
       return;
     }
-    long last = acknowledged.getOrDefault(worker.key(), 0L);
-    long deadline = extending ? now + settings.leaseMilliseconds() : 0;
+    long last = acknowledged.getOrDefault(key, 0L);
+    long deadline = extending ? leaseDeadline(worker, key) : 0;
     // Reads the finished runs before the acknowledgement removes them from the worker's list.
     Optional<WorkerStatus> before = worker.renew(epoch, 0, 0);
     before.ifPresent(status -> recordAcknowledged(status, last));
     worker
         .renew(epoch, deadline, last)
-        .ifPresent(status -> scheduler.onLeaseRenewed(worker.key(), status, now, now, now));
+        .ifPresent(status -> scheduler.onLeaseRenewed(key, status, now, now, now));
+  }
+
+  /** Returns the incarnation of a worker that the scheduler renews, if any; it may have ended. */
+  private Optional<WorkerKey> incarnationKnownToScheduler(SimulatedWorker worker) {
+    for (WorkerReport report : scheduler.workersToRenew()) {
+      if (report.key().id().equals(worker.key().id())) {
+        return Optional.of(report.key());
+      }
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Returns the end of the lease that a worker derives from a command to the given incarnation. A
+   * deadline on the clock of a former incarnation is far in the future of a new one.
+   */
+  private long leaseDeadline(SimulatedWorker worker, WorkerKey addressee) {
+    boolean isSameClock = worker.key().equals(addressee);
+    return now + (isSameClock ? settings.leaseMilliseconds() : MAXIMUM_LEASE_MILLISECONDS);
   }
 
   private void recordAcknowledged(WorkerStatus status, long last) {
@@ -234,8 +256,11 @@
     scheduler.onMoveAnswered(move, accepted ? MachineOutcome.DONE : MachineOutcome.BUSY, now);
   }
 
+  /** Returns the worker with the id; commands do not name the incarnation that they are sent to. */
   private Optional<SimulatedWorker> workerOf(WorkerKey key) {
-    return workers.values().stream().filter(worker -> worker.key().equals(key)).findFirst();
+    return workers.values().stream()
+        .filter(worker -> worker.key().id().equals(key.id()))
+        .findFirst();
   }
 
   private void start(SchedulerCommand.StartTask start) {
@@ -250,6 +275,10 @@
     }
     SimulatedWorker worker = found.get();
     scheduler.onLeaseSent(start.worker(), now);
+    if (worker.restartsBeforeNextStart) {
+      worker.restartsBeforeNextStart = false;
+      worker.restart(now);
+    }
     if (worker.nextStartDelayMilliseconds > 0) {
       delayedStarts.add(
           new DelayedStart(worker, start, epoch, now + worker.nextStartDelayMilliseconds));
@@ -279,7 +308,7 @@
     SimulatedWorker.Run run =
         new SimulatedWorker.Run(
             start.task(), start.attempt(), durations.getOrDefault(start.task(), 100L));
-    StartOutcome outcome = worker.start(start, token, now + settings.leaseMilliseconds(), run);
+    StartOutcome outcome = worker.start(start, token, leaseDeadline(worker, start.worker()), run);
     if (outcome == StartOutcome.STARTED) {
       runs.onStarted(start.task(), worker.name);
     }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWorker.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWorker.java
@@ -34,6 +34,7 @@
   boolean stallsRuns;
   long slowdownFactor = 1;
   boolean losesNextStartResponse;
+  boolean restartsBeforeNextStart;
   long nextStartDelayMilliseconds;
   long startedAt;
   long leaseExpiresAt;
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/WorkerFaultInjector.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/WorkerFaultInjector.java
@@ -29,13 +29,27 @@
   public void restart() {
     worker.restart(now);
     worker.listed = true;
-    scheduler.onWorkerListed(worker.report());
+    scheduler.onWorkerListed(worker.report(), now);
+  }
+
+  /**
+   * Restarts the worker just before its next start arrives, so that the new incarnation executes a
+   * start that was sent to the former one. The new incarnation writes no report yet.
+   */
+  public void restartBeforeNextStart() {
+    worker.restartsBeforeNextStart = true;
+  }
+
+  /** Lets the worker write its report. */
+  public void list() {
+    worker.listed = true;
+    scheduler.onWorkerListed(worker.report(), now);
   }
 
   /** Lets the worker report that it is about to leave. */
   public void startDraining() {
     worker.draining = true;
-    scheduler.onWorkerListed(worker.report());
+    scheduler.onWorkerListed(worker.report(), now);
   }
 
   /** Makes every run on the worker fail at once. */
