Count a machine as maintained only for the wave of its command

Cause: the list of machines does not say for which wave a machine is under maintenance. The wave controller took each machine that it found under maintenance for one of the wave at hand, to find those that a previous leader had ordered. With two waves that have machines in common this is wrong.

Ruled out: asking the platform while the machine is still under maintenance. It would tell the waves apart without emptying the machine, but the command may arrive when the machine is back, and costs a call for each wave.

Change: such a machine is reserved until it is back; then the command of this wave is sent, which the platform confirms at once if it was executed before. All machines of the wave that are down, for any wave, count against its limit.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveController.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveController.java
@@ -17,6 +17,12 @@
 /**
  * Carries out maintenance waves: evacuates a few machines ahead, and starts the maintenance of a
  * machine once it is empty and fewer machines than the wave's limit are down.
+ *
+ * <p>Waves may have machines in common, and the list of machines does not say for which wave a
+ * machine is under maintenance. A machine counts as maintained for a wave only after the platform
+ * has confirmed the command with the number of that wave; it also confirms a command that it has
+ * executed for a previous leader. Against the limit counts each machine of the wave that is down
+ * for any wave.
  */
 final class WaveController {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -70,8 +76,9 @@
       this.request = request;
     }
 
-    private long count(MachineStage stage) {
-      return stages.values().stream().filter(other -> other == stage).count();
+    private boolean isOrdered(MachineId machine) {
+      MachineStage stage = stages.get(machine);
+      return stage == MachineStage.ORDERED || stage == MachineStage.DOWN;
     }
 
     private void setStage(MachineId machine, MachineStage stage, long now) {
@@ -112,7 +119,7 @@
     if (machines.isEmpty()) {
       return;
     }
-    adoptMachinesInMaintenance(wave, now);
+    reserveMachinesInMaintenance(wave, now);
     finishReturnedMachines(wave, now);
     resendUnanswered(wave, now);
     for (MachineId machine : List.copyOf(wave.stages.keySet())) {
@@ -127,17 +134,24 @@
     }
   }
 
-  /** Adopts machines whose maintenance a previous leader may have started. */
-  private void adoptMachinesInMaintenance(Wave wave, long now) {
+  /**
+   * Reserves machines whose maintenance a previous leader may have started. They receive no tasks
+   * when they return, so that the command which then asks for their maintenance interrupts none.
+   */
+  private void reserveMachinesInMaintenance(Wave wave, long now) {
     for (MachineId machine : wave.request.machines()) {
-      boolean down =
-          machines.find(machine).map(found -> found.state() == Machine.State.UPKEEP).orElse(false);
-      if (down && !wave.maintained.contains(machine) && !wave.stages.containsKey(machine)) {
-        wave.setStage(machine, MachineStage.DOWN, now);
+      if (isInMaintenance(machine)
+          && !wave.maintained.contains(machine)
+          && !isInProgress(machine)) {
+        wave.setStage(machine, MachineStage.EMPTYING, now);
       }
     }
   }
 
+  private boolean isInMaintenance(MachineId machine) {
+    return machines.find(machine).map(found -> found.state() == Machine.State.UPKEEP).orElse(false);
+  }
+
   /**
    * Resends unanswered commands. They may still be executed, so their machines count against the
    * wave's limit until the platform responds.
@@ -203,17 +217,28 @@
   }
 
   private void startMaintenance(Wave wave, MachineId machine, long now) {
-    boolean limitReached =
-        wave.count(MachineStage.DOWN) + wave.count(MachineStage.ORDERED)
-            >= Math.max(1, wave.request.maximumDown());
     boolean waitsForRetry = now < wave.retryAt.getOrDefault(machine, Long.MIN_VALUE);
-    if (limitReached || waitsForRetry) {
+    if (waitsForRetry || isInMaintenance(machine)) {
+      return;
+    }
+    if (countDown(wave) >= Math.max(1, wave.request.maximumDown())) {
       return;
     }
     wave.setStage(machine, MachineStage.ORDERED, now);
     outbox.sendAfterRecording(new SchedulerCommand.MaintainMachine(machine, wave.request.number()));
   }
 
+  /** Returns the number of the wave's machines that are down for any wave, or may be. */
+  private long countDown(Wave wave) {
+    return wave.request.machines().stream()
+        .filter(machine -> isInMaintenance(machine) || isOrderedForAnyWave(machine))
+        .count();
+  }
+
+  private boolean isOrderedForAnyWave(MachineId machine) {
+    return waves.values().stream().anyMatch(wave -> wave.isOrdered(machine));
+  }
+
   /** Selects the next machines to evacuate. */
   private void evacuateMore(Wave wave, long now) {
     int freeSlots =
