Never take a report in the store for the end of another worker

Cause: a report that the leader had not known ended every other worker at the same address. Such a report may be of a worker that ended before: the store receives it when a partition heals, after the report of the replacement.

The leader logs run_over cause=address_reused for ten tasks of the running worker in the millisecond in which it lists the former worker of that address, 24.5 s older. A trial that logged each record of the topic shows the former entry with a new offset, after the removal of its key.

Ruled out: comparing start times (a foreign entry has any) or offsets (the late entry has the higher one).

Change: the end of a worker is learnt at its address only, from the answer 421 of whoever is there now. A worker whose address another report has is restored by a new leader like others.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -17,10 +17,11 @@
  * certainly ended. Proof is one of: the start command was not sent or was refused; the worker lists
  * the run as finished; a status of the worker's newest incarnation, requested after the start was
  * answered or its stop was confirmed, does not contain the run; the worker's lease has expired; or
- * another worker has started at its address.
+ * a worker with another id answers at its address.
  *
- * <p>A new incarnation of the worker is no proof by itself: it may have executed a start that was
- * sent to the former one.
+ * <p>A report in the store is no proof, neither of another worker at the same address nor of a new
+ * incarnation: the former may be outdated or foreign, and the latter may have executed a start that
+ * was sent to the former incarnation.
  */
 final class TaskLifecycle {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
@@ -16,8 +16,8 @@
  * Tracks the workers, and for each one the time until which tasks may still run on it.
  *
  * <p>The tasks of a worker that does not respond stay assigned to it until they have certainly
- * ended: its lease has expired, its new incarnation does not list them, or another worker is listed
- * or responds at its address.
+ * ended: its lease has expired, its new incarnation does not list them, or a worker with another id
+ * responds at its address.
  */
 final class WorkerTracker {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -74,34 +74,21 @@
 
   /** Restores a worker that is no longer listed but may still run tasks, from its last report. */
   void restoreUnlistedWorker(WorkerReport report) {
-    if (workers.find(report.key().id()).isEmpty() && !isAddressTaken(report)) {
+    if (workers.find(report.key().id()).isEmpty()) {
       addUnlisted(report);
     }
   }
 
-  private boolean isAddressTaken(WorkerReport report) {
-    for (Worker worker : workers.all()) {
-      if (worker.listed && worker.report.address().equals(report.address())) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  /** Ends other workers at the same address: a new worker there proves that they have ended. */
-  private void endReplacedWorkers(WorkerReport report) {
-    for (Worker otherWorker : List.copyOf(workers.all())) {
-      if (otherWorker.report.address().equals(report.address())) {
-        endWorker(otherWorker, "address_reused");
-      }
-    }
-  }
-
-  /** Applies the report of a listed worker. */
+  /**
+   * Applies the report of a listed worker.
+   *
+   * <p>A report says nothing about other workers, even at the same address: reports outlive their
+   * workers, may reach the store late, and may be written by others. That a worker has ended is
+   * known from the responses at its address.
+   */
   void onWorkerListed(WorkerReport report, long now) {
     Optional<Worker> known = workers.find(report.key().id());
     if (known.isEmpty()) {
-      endReplacedWorkers(report);
       workers.add(new Worker(report, inheritedLeasesExpireAt));
       logger.atInfo().log(
           "event=worker_listed worker=%s pool=%s draining=%s",
--- a/scheduling/src/test/java/org/flamingochute/scheduling/scenario/ScenarioExecutor.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/scenario/ScenarioExecutor.java
@@ -34,6 +34,10 @@
       case "queue" -> declareQueue(line);
       case "team" -> declareTeam(line);
       case "worker" -> fleet().addWorker(line.word(1), pool(line), capacity(line), labels(line));
+      case "foreign-worker" ->
+          fleet()
+              .listForeignWorker(
+                  line.word(1), line.value("address", ""), line.number("started", fleet().now()));
       case "machine" -> fleet().addMachine(line.word(1), pool(line), capacity(line));
       case "pool" -> declaration.pool(new Pool(new PoolId(line.word(1)), true, true));
       case "submit" -> submit(line);
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -44,6 +44,7 @@
   private final SimulatedMachines machines = new SimulatedMachines();
   private final Map<TaskId, Long> durations = new HashMap<>();
   private final Map<WorkerKey, Long> acknowledged = new HashMap<>();
+  private final Map<String, WorkerReport> foreignReports = new LinkedHashMap<>();
   private final SimulatedRuns runs = new SimulatedRuns();
   private final List<DelayedStart> delayedStarts = new ArrayList<>();
   private final List<SchedulerCommand> commands = new ArrayList<>();
@@ -75,6 +76,16 @@
     scheduler.onWorkerListed(worker.report(), now);
   }
 
+  /** Lists a worker that does not run, with the address of another one. */
+  public void listForeignWorker(String name, String addressOwner, long startedAt) {
+    SimulatedWorker owner = workers.get(addressOwner);
+    SimulatedWorker foreign =
+        new SimulatedWorker(name, owner.pool, owner.capacity, owner.labels, startedAt);
+    foreign.address = owner.address;
+    foreignReports.put(name, foreign.report());
+    scheduler.onWorkerListed(foreign.report(), now);
+  }
+
   /** Adds a machine with a worker of the same name. */
   public void addMachine(String name, PoolId pool, ResourceVector capacity) {
     machines.add(name, pool, capacity);
@@ -119,6 +130,9 @@
     acknowledged.clear();
     PredecessorState predecessor = graceful ? PredecessorState.OVER : PredecessorState.UNKNOWN;
     scheduler = new Scheduler(settings, declaration, predecessor, now, now);
+    for (WorkerReport report : foreignReports.values()) {
+      scheduler.onWorkerListed(report, now);
+    }
     for (SimulatedWorker worker : workers.values()) {
       if (worker.listed) {
         scheduler.onWorkerListed(worker.report(), now);
@@ -147,6 +161,7 @@
     }
     if (now % RENEWAL_INTERVAL_MILLISECONDS == 0) {
       workers.values().forEach(this::renew);
+      foreignReports.values().forEach(this::renewForeign);
     }
     listMachines();
     scheduler.decide(now, now);
@@ -164,6 +179,13 @@
     }
   }
 
+  /** The owner of the address answers that it is not the worker that the renewal names. */
+  private void renewForeign(WorkerReport report) {
+    if (scheduler.workersToRenew().contains(report)) {
+      scheduler.onRenewalFailed(report.key(), true, "another worker");
+    }
+  }
+
   private void renewAfterEnds(SimulatedWorker worker, List<FinishedTask> ends) {
     if (!ends.isEmpty() && worker.reachable) {
       renew(worker);
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWorker.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWorker.java
@@ -24,6 +24,7 @@
  */
 final class SimulatedWorker {
   final String name;
+  String address;
   final PoolId pool;
   final ResourceVector capacity;
   final List<String> labels;
@@ -61,6 +62,7 @@
   SimulatedWorker(
       String name, PoolId pool, ResourceVector capacity, List<String> labels, long startedAt) {
     this.name = name;
+    this.address = name;
     this.pool = pool;
     this.capacity = capacity;
     this.labels = labels;
@@ -71,7 +73,7 @@
     return new WorkerReport(
         new WorkerKey(new InstanceId(name), startedAt),
         pool,
-        name,
+        address,
         new DataCentreId("a"),
         capacity,
         labels,
