Skip odd entries among the workers' reports, and never stop reading

Cause: the key became an id outside the code that catches invalid values, and the exception ended in a future that nobody reads, so that the topic counted as loaded and was never read on. An empty key made a page of the newest records unreadable for ever, and a key with special characters its successor. Values out of range were accepted, and entries of unknown pools were called.

Each skipped record is named in one bounded log line.

--- a/node/src/main/java/org/flamingochute/node/FleetState.java
+++ b/node/src/main/java/org/flamingochute/node/FleetState.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.flamingochute.decision.identity.Identifiers;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.node.store.ScheduleKeys;
@@ -153,15 +154,15 @@
     return new TopicListener() {
       @Override
       public void onSnapshot(List<StoreRecord> records) {
-        Set<InstanceId> listed = new HashSet<>();
+        Set<String> listed = new HashSet<>();
         for (StoreRecord record : records) {
           if (!record.isTombstone()) {
-            listed.add(new InstanceId(record.key()));
+            listed.add(record.key());
           }
           applyWorker(record);
         }
         for (InstanceId known : Set.copyOf(workers.keySet())) {
-          if (!listed.contains(known)) {
+          if (!listed.contains(known.value())) {
             removeWorker(known);
           }
         }
@@ -175,19 +176,24 @@
   }
 
   private void applyWorker(StoreRecord record) {
-    try {
-      if (record.isTombstone()) {
+    if (record.isTombstone()) {
+      // No worker is known under a key that is not a valid id.
+      if (Identifiers.isValid(record.key())) {
         removeWorker(new InstanceId(record.key()));
-        return;
-      }
-      WorkerReport report = WorkerReportCodec.read(record.key(), record.value());
-      WorkerReport previous = workers.put(report.key().id(), report);
-      unlistedWorkers.remove(report.key().id());
-      if (!report.equals(previous)) {
-        listener.ifPresent(receiver -> receiver.onWorkerListed(report));
       }
-    } catch (WireException | IllegalArgumentException e) {
+      return;
+    }
+    WorkerReport report;
+    try {
+      report = WorkerReportCodec.read(record.key(), record.value());
+    } catch (WireException e) {
       logUnreadable(record, e);
+      return;
+    }
+    WorkerReport previous = workers.put(report.key().id(), report);
+    unlistedWorkers.remove(report.key().id());
+    if (!report.equals(previous)) {
+      listener.ifPresent(receiver -> receiver.onWorkerListed(report));
     }
   }
 
@@ -245,6 +251,6 @@
   private static void logUnreadable(StoreRecord record, Exception error) {
     logger.atWarning().log(
         "event=record_unreadable key=%s offset=%d detail=\"%s\"",
-        record.key(), record.offset(), error.getMessage());
+        LogText.of(record.key()), record.offset(), LogText.of(error.getMessage()));
   }
 }
--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
@@ -10,6 +10,7 @@
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.node.FleetState;
+import org.flamingochute.node.LogText;
 import org.flamingochute.node.NodeClock;
 import org.flamingochute.node.store.ScheduleKeys;
 import org.flamingochute.node.store.StoreFollower;
@@ -215,7 +216,7 @@
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       logger.atWarning().log(
           "event=record_unreadable key=%s offset=%d detail=\"%s\"",
-          record.key(), record.offset(), e.getMessage());
+          LogText.of(record.key()), record.offset(), LogText.of(e.getMessage()));
     }
   }
 
--- a/node/src/main/java/org/flamingochute/node/store/StoreFollower.java
+++ b/node/src/main/java/org/flamingochute/node/store/StoreFollower.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.flamingochute.node.ClockReading;
+import org.flamingochute.node.LogText;
 import org.flamingochute.node.NodeClock;
 import org.flamingochute.platform.wire.StoreClient;
 import org.flamingochute.platform.wire.StorePageOutcome;
@@ -197,9 +198,10 @@
       case StorePageOutcome.Page arrived -> {
         recordResponse();
         loadedRecords.addAll(arrived.records());
+        arrived.unreadable().forEach(this::logUnreadable);
         long end = Math.min(smallestEndOffset, arrived.endOffset());
-        if (arrived.hasMore() && !arrived.records().isEmpty()) {
-          loadPage(arrived.records().getLast().key(), loadedRecords, end);
+        if (arrived.nextKey().isPresent()) {
+          loadPage(arrived.nextKey().get(), loadedRecords, end);
         } else {
           onLoaded(loadedRecords, end);
         }
@@ -207,6 +209,11 @@
     }
   }
 
+  private void logUnreadable(String description) {
+    logger.atWarning().log(
+        "event=record_skipped topic=%s detail=\"%s\"", topic, LogText.of(description));
+  }
+
   private void onLoaded(List<StoreRecord> loadedRecords, long end) {
     loaded = true;
     nextOffset = end;
@@ -214,7 +221,7 @@
     confirmedAt = loadStartedAt;
     logger.atInfo().log(
         "event=topic_loaded topic=%s records=%d next=%d", topic, loadedRecords.size(), end);
-    listener.onSnapshot(loadedRecords);
+    callListener("snapshot", () -> listener.onSnapshot(loadedRecords));
     read();
   }
 
@@ -279,14 +286,14 @@
 
   /** Delivers records; skips those that another read or a refresh has already delivered. */
   private void deliver(StoreReadOutcome.Records records, ClockReading sentAt) {
-    if (records.unreadableCount() > 0) {
-      logger.atWarning().log(
-          "event=records_unreadable topic=%s from=%d count=%d",
-          topic, nextOffset, records.unreadableCount());
+    for (long offset : records.unreadableOffsets()) {
+      if (offset >= nextOffset) {
+        logUnreadable("offset " + offset + ": the key cannot be read");
+      }
     }
     for (StoreRecord record : records.records()) {
       if (record.offset() >= nextOffset) {
-        listener.onRecord(record);
+        callListener("offset " + record.offset(), () -> listener.onRecord(record));
       }
     }
     nextOffset = Math.max(nextOffset, records.nextOffset());
@@ -296,6 +303,19 @@
     }
   }
 
+  /**
+   * Passes records to the listener. An unexpected error in it must not end the reading, since
+   * nobody would restart it.
+   */
+  private void callListener(String description, Runnable call) {
+    try {
+      call.run();
+    } catch (RuntimeException | StackOverflowError e) {
+      logger.atSevere().withCause(e).log(
+          "event=record_failed topic=%s detail=\"%s\"", topic, description);
+    }
+  }
+
   private void recordResponse() {
     lastResponseAt = Optional.of(clock.read());
     retryDelayMilliseconds = MINIMUM_RETRY_DELAY_MILLISECONDS;
--- a/node/src/test/java/org/flamingochute/node/store/StoreFollowerTest.java
+++ b/node/src/test/java/org/flamingochute/node/store/StoreFollowerTest.java
@@ -48,6 +48,7 @@
           ExchangeListener.NONE);
   private PlatformServer platform;
   private StoreClient store;
+  private volatile boolean listenerFails;
 
   @BeforeEach
   void startPlatform() throws Exception {
@@ -110,15 +111,23 @@
         @Override
         public void onSnapshot(List<StoreRecord> records) {
           loaded.countDown();
+          failIfRequested();
         }
 
         @Override
         public void onRecord(StoreRecord record) {
           delivered.add(record);
+          failIfRequested();
         }
       };
     }
 
+    private void failIfRequested() {
+      if (listenerFails) {
+        throw new IllegalStateException("a listener that fails for each record");
+      }
+    }
+
     private void awaitRecords(int count) throws Exception {
       for (int i = 0; i < count; i++) {
         assertThat(delivered.poll(AWAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS), notNullValue());
@@ -137,6 +146,19 @@
     followed.awaitRecords(1_500);
   }
 
+  /**
+   * Guards against LOST: one record that causes an unexpected error ends the reading of a topic.
+   */
+  @Test
+  void errorOfListenerDoesNotEndTheReading() throws Exception {
+    listenerFails = true;
+    LoadedFollower followed = new LoadedFollower(0);
+    appendRecords(2);
+    followed.awaitRecords(2);
+    appendRecords(1);
+    followed.awaitRecords(1);
+  }
+
   @Test
   void followerThatIsBehindDoesNotPause() throws Exception {
     LoadedFollower followed = new LoadedFollower(TimeUnit.MINUTES.toMillis(5));
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -227,7 +227,7 @@
 
   /** Returns the workers whose leases must be renewed. */
   public List<WorkerReport> workersToRenew() {
-    return workerTracker.workersToRenew();
+    return workerTracker.workersToRenew(declaration);
   }
 
   /** Returns whether calls to a worker fail, so that its lease must not be extended. */
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
@@ -8,6 +8,7 @@
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.placement.ResourceVector;
+import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.schema.scheduling.TaskProgress;
@@ -167,11 +168,15 @@
     workers.remove(worker);
   }
 
-  /** Returns the workers whose leases must be renewed. */
-  List<WorkerReport> workersToRenew() {
+  /**
+   * Returns the workers whose leases must be renewed. A listed worker of a pool that is not
+   * declared receives no tasks, and is not called unless it has some.
+   */
+  List<WorkerReport> workersToRenew(FleetDeclaration declaration) {
     List<WorkerReport> reports = new ArrayList<>();
     for (Worker worker : workers.all()) {
-      boolean needsLease = worker.listed || !worker.tasks.isEmpty();
+      boolean isUsable = worker.listed && declaration.pool(worker.report.pool()).isPresent();
+      boolean needsLease = isUsable || !worker.tasks.isEmpty();
       if (needsLease && !worker.report.address().isEmpty()) {
         reports.add(worker.report);
       }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/scenario/ScenarioExecutor.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/scenario/ScenarioExecutor.java
@@ -175,6 +175,9 @@
               is(Boolean.parseBoolean(line.word(3))));
       case "machines-in" ->
           assertThat(reason, fleet().machinesIn(new PoolId(line.word(2))), is(count(line, 3)));
+      case "renewed" ->
+          assertThat(
+              reason, fleet().isRenewed(line.word(2)), is(Boolean.parseBoolean(line.word(3))));
       case "running" -> assertThat(reason, fleet().runningCount(), is(count(line, 2)));
       case "running-on" ->
           assertThat(reason, fleet().runningCountOn(line.word(2)), is(count(line, 3)));
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -359,6 +359,12 @@
     return runs.lastWorkerOf(task);
   }
 
+  /** Returns whether the scheduler renews the lease of a worker. */
+  public boolean isRenewed(String name) {
+    return scheduler.workersToRenew().stream()
+        .anyMatch(report -> report.key().id().value().equals(name));
+  }
+
   /** Returns the number of tasks running on a worker. */
   public int runningCountOn(String name) {
     int count = 0;
