Count a task on a worker that does not respond as unavailable

Change: such a task is not available, so that no other task of its step is stopped for a wave beyond the step's maximum.

Before: WorkerEvacuatorTest failed in 1 of 2 cases. After: both pass, as do all tests of scheduling.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -100,9 +100,16 @@
     return phase == TaskProgress.Phase.DONE;
   }
 
-  /** Returns whether a long-running task is known to be running and ready. */
+  /**
+   * Returns whether a long-running task is known to be running and ready. Nothing is known of a
+   * task whose worker does not respond.
+   */
   boolean isAvailable() {
-    return isAssigned() && runState == RunState.RUNNING && percent >= FULL_PERCENT;
+    return isRunning() && percent >= FULL_PERCENT && !isWorkerSilent();
+  }
+
+  private boolean isWorkerSilent() {
+    return worker.map(assigned -> assigned.unreachable).orElse(true);
   }
 
   /** Returns whether the worker has confirmed that it runs the task. */
