Split the renewals out of the simulated fleet, and share the setup of wave tests

Ruled out: sharing the setup of RetriedCommandTest and NewestRecordsPageTest (three lines) and the outcome tables of MachineClient and WorkerClient, which map the same statuses to different outcomes.

Change: SimulatedRenewals renews leases and acknowledges; WaveControllers creates controllers. No test and no check is changed.

--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/OverlappingWavesTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/OverlappingWavesTest.java
@@ -15,7 +15,6 @@
 import org.flamingochute.decision.identity.MachineId;
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.placement.ResourceVector;
-import org.flamingochute.decision.placement.WorkerHealth;
 import org.flamingochute.scheduling.fleet.Machine;
 import org.flamingochute.scheduling.fleet.WaveRequest;
 import org.flamingochute.schema.scheduling.WaveProgress;
@@ -50,23 +49,10 @@
   private final List<Long> completed = new ArrayList<>();
   private final Set<String> violations = new LinkedHashSet<>();
   private Outbox outbox = new Outbox();
-  private WaveController waves = createController();
+  private WaveController waves = WaveControllers.create(machines, outbox);
   private int round;
   private long now;
 
-  private WaveController createController() {
-    SchedulerSettings settings = SchedulerSettings.builder().build();
-    TaskLifecycle lifecycle =
-        new TaskLifecycle(new JobRegistry(), new TeamUsage(), new WorkerHealth(), outbox, settings);
-    WorkerRegistry workers = new WorkerRegistry();
-    return new WaveController(
-        workers,
-        machines,
-        new MaintenanceOrder(machines, workers),
-        new WorkerEvacuator(lifecycle),
-        outbox);
-  }
-
   private void addWave(WaveRequest request) {
     waves.addWave(
         request, recorded.getOrDefault(request.number(), WaveProgress.getDefaultInstance()));
@@ -75,7 +61,7 @@
   /** Replaces the leader with one that knows the recorded progress only. */
   private void replaceLeader() {
     outbox = new Outbox();
-    waves = createController();
+    waves = WaveControllers.create(machines, outbox);
     REQUESTS.forEach(this::addWave);
   }
 
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/WaveControllerTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/WaveControllerTest.java
@@ -9,7 +9,6 @@
 import org.flamingochute.decision.identity.MachineId;
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.placement.ResourceVector;
-import org.flamingochute.decision.placement.WorkerHealth;
 import org.flamingochute.scheduling.fleet.Machine;
 import org.flamingochute.scheduling.fleet.WaveRequest;
 import org.flamingochute.schema.scheduling.WaveProgress;
@@ -23,22 +22,9 @@
 
   private final Outbox outbox = new Outbox();
   private final MachineInventory machines = new MachineInventory();
-  private final WaveController waves = createController();
+  private final WaveController waves = WaveControllers.create(machines, outbox);
   private long now;
 
-  private WaveController createController() {
-    SchedulerSettings settings = SchedulerSettings.builder().build();
-    TaskLifecycle lifecycle =
-        new TaskLifecycle(new JobRegistry(), new TeamUsage(), new WorkerHealth(), outbox, settings);
-    WorkerRegistry workers = new WorkerRegistry();
-    return new WaveController(
-        workers,
-        machines,
-        new MaintenanceOrder(machines, workers),
-        new WorkerEvacuator(lifecycle),
-        outbox);
-  }
-
   private void listMachines(Machine.State first, Machine.State others) {
     List<Machine> listed = new ArrayList<>();
     for (MachineId id : MACHINES) {
--- /dev/null
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/WaveControllers.java
@@ -0,0 +1,21 @@
+package org.flamingochute.scheduling.core;
+
+import org.flamingochute.decision.placement.WorkerHealth;
+
+/** Creates wave controllers for tests, without workers. */
+final class WaveControllers {
+  private WaveControllers() {}
+
+  static WaveController create(MachineInventory machines, Outbox outbox) {
+    SchedulerSettings settings = SchedulerSettings.builder().build();
+    TaskLifecycle lifecycle =
+        new TaskLifecycle(new JobRegistry(), new TeamUsage(), new WorkerHealth(), outbox, settings);
+    WorkerRegistry workers = new WorkerRegistry();
+    return new WaveController(
+        workers,
+        machines,
+        new MaintenanceOrder(machines, workers),
+        new WorkerEvacuator(lifecycle),
+        outbox);
+  }
+}
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -19,11 +19,9 @@
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.job.JobPhase;
 import org.flamingochute.scheduling.job.StoredJob;
-import org.flamingochute.scheduling.worker.EndReason;
 import org.flamingochute.scheduling.worker.FinishedTask;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
-import org.flamingochute.scheduling.worker.WorkerStatus;
 import org.flamingochute.schema.scheduling.QueuedJob;
 
 /**
@@ -35,20 +33,21 @@
 public final class SimulatedFleet {
   private static final long STEP_DURATION_MILLISECONDS = 10;
   private static final long RENEWAL_INTERVAL_MILLISECONDS = 100;
-  private static final long MAXIMUM_LEASE_MILLISECONDS = 10_000;
   private static final long MACHINE_LIST_INTERVAL_MILLISECONDS = 250;
 
   private final SchedulerSettings settings =
-      SchedulerSettings.builder().maximumLeaseMilliseconds(MAXIMUM_LEASE_MILLISECONDS).build();
+      SchedulerSettings.builder()
+          .maximumLeaseMilliseconds(SimulatedWorker.MAXIMUM_LEASE_MILLISECONDS)
+          .build();
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
   private final SimulatedMachines machines = new SimulatedMachines();
   private final Map<TaskId, Long> durations = new HashMap<>();
-  private final Map<WorkerKey, Long> acknowledged = new HashMap<>();
-  private final Map<String, WorkerReport> foreignReports = new LinkedHashMap<>();
   private final SimulatedRuns runs = new SimulatedRuns();
   private final List<DelayedStart> delayedStarts = new ArrayList<>();
   private final List<SchedulerCommand> commands = new ArrayList<>();
   private final SimulatedStore store = new SimulatedStore();
+  private final SimulatedRenewals renewals =
+      new SimulatedRenewals(store, runs, settings.leaseMilliseconds());
   private FleetDeclaration declaration;
   private Scheduler scheduler;
   private long now = 1_000;
@@ -82,7 +81,7 @@
     SimulatedWorker foreign =
         new SimulatedWorker(name, owner.pool, owner.capacity, owner.labels, startedAt);
     foreign.address = owner.address;
-    foreignReports.put(name, foreign.report());
+    renewals.addForeignWorker(foreign.report());
     scheduler.onWorkerListed(foreign.report(), now);
   }
 
@@ -127,10 +126,10 @@
   public void replaceLeader(boolean graceful) {
     epoch++;
     store.dropUnrecordedBatch();
-    acknowledged.clear();
+    renewals.forgetAcknowledgements();
     PredecessorState predecessor = graceful ? PredecessorState.OVER : PredecessorState.UNKNOWN;
     scheduler = new Scheduler(settings, declaration, predecessor, now, now);
-    for (WorkerReport report : foreignReports.values()) {
+    for (WorkerReport report : renewals.foreignWorkers()) {
       scheduler.onWorkerListed(report, now);
     }
     for (SimulatedWorker worker : workers.values()) {
@@ -160,8 +159,8 @@
       renewAfterEnds(worker, worker.advance(now, STEP_DURATION_MILLISECONDS));
     }
     if (now % RENEWAL_INTERVAL_MILLISECONDS == 0) {
-      workers.values().forEach(this::renew);
-      foreignReports.values().forEach(this::renewForeign);
+      workers.values().forEach(worker -> renewals.renew(worker, scheduler, epoch, now));
+      renewals.renewForeignWorkers(scheduler);
     }
     listMachines();
     scheduler.decide(now, now);
@@ -179,79 +178,10 @@
     }
   }
 
-  /** The owner of the address answers that it is not the worker that the renewal names. */
-  private void renewForeign(WorkerReport report) {
-    if (scheduler.workersToRenew().contains(report)) {
-      scheduler.onRenewalFailed(report.key(), true, "another worker");
-    }
-  }
-
   private void renewAfterEnds(SimulatedWorker worker, List<FinishedTask> ends) {
     if (!ends.isEmpty() && worker.reachable) {
-      renew(worker);
-    }
-  }
-
-  private void renew(SimulatedWorker worker) {
-    Optional<WorkerKey> addressee = incarnationKnownToScheduler(worker);
-    if (addressee.isEmpty()) {
-      return;
-    }
-    WorkerKey key = addressee.get();
-    boolean extending = !scheduler.isUnreachable(key);
-    if (extending) {
-      scheduler.onLeaseSent(key, now);
-    }
-    if (!worker.reachable) {
-      scheduler.onRenewalFailed(key, false, "no answer");
-      return;
-    }
-    long last = acknowledged.getOrDefault(key, 0L);
-    long deadline = extending ? leaseDeadline(worker, key) : 0;
-    // Reads the finished runs before the acknowledgement removes them from the worker's list.
-    Optional<WorkerStatus> before = worker.renew(epoch, 0, 0);
-    before.ifPresent(status -> recordAcknowledged(status, last));
-    worker
-        .renew(epoch, deadline, last)
-        .ifPresent(status -> scheduler.onLeaseRenewed(key, status, now, now, now));
-  }
-
-  /** Returns the incarnation of a worker that the scheduler renews, if any; it may have ended. */
-  private Optional<WorkerKey> incarnationKnownToScheduler(SimulatedWorker worker) {
-    for (WorkerReport report : scheduler.workersToRenew()) {
-      if (report.key().id().equals(worker.key().id())) {
-        return Optional.of(report.key());
-      }
+      renewals.renew(worker, scheduler, epoch, now);
     }
-    return Optional.empty();
-  }
-
-  /**
-   * Returns the end of the lease that a worker derives from a command to the given incarnation. A
-   * deadline on the clock of a former incarnation is far in the future of a new one.
-   */
-  private long leaseDeadline(SimulatedWorker worker, WorkerKey addressee) {
-    boolean isSameClock = worker.key().equals(addressee);
-    return now + (isSameClock ? settings.leaseMilliseconds() : MAXIMUM_LEASE_MILLISECONDS);
-  }
-
-  private void recordAcknowledged(WorkerStatus status, long last) {
-    for (FinishedTask end : status.finished()) {
-      boolean isAcknowledgedSuccess = end.number() <= last && end.reason() == EndReason.DONE;
-      if (isAcknowledgedSuccess && !isLongRunning(end.task())) {
-        runs.onAcknowledged(end.task());
-      }
-    }
-  }
-
-  /** Returns whether a task is long-running, so that it is restarted however it ends. */
-  private boolean isLongRunning(TaskId task) {
-    return store
-        .jobs()
-        .find(task.job())
-        .flatMap(StoredJob::definition)
-        .map(job -> job.getSteps(task.step()).getLongRunning())
-        .orElse(false);
   }
 
   private void execute(SchedulerCommand command) {
@@ -260,7 +190,7 @@
       case SchedulerCommand.StartTask start -> start(start);
       case SchedulerCommand.StopTask stop -> stop(stop);
       case SchedulerCommand.AcknowledgeFinishedRuns ends ->
-          acknowledged.merge(ends.worker(), ends.number(), Math::max);
+          renewals.acknowledge(ends.worker(), ends.number());
       case SchedulerCommand.PaceTask pace -> scheduler.onPaceAnswered(pace, true, now);
       case SchedulerCommand.MoveMachine move -> move(move);
       case SchedulerCommand.MaintainMachine maintenance ->
@@ -330,13 +260,17 @@
     SimulatedWorker.Run run =
         new SimulatedWorker.Run(
             start.task(), start.attempt(), durations.getOrDefault(start.task(), 100L));
-    StartOutcome outcome = worker.start(start, token, leaseDeadline(worker, start.worker()), run);
+    StartOutcome outcome = worker.start(start, token, leaseDeadline(worker, start), run);
     if (outcome == StartOutcome.STARTED) {
       runs.onStarted(start.task(), worker.name);
     }
     return outcome;
   }
 
+  private long leaseDeadline(SimulatedWorker worker, SchedulerCommand.StartTask start) {
+    return worker.leaseDeadline(start.worker(), settings.leaseMilliseconds(), now);
+  }
+
   private void stop(SchedulerCommand.StopTask stop) {
     Optional<SimulatedWorker> found = workerOf(stop.worker());
     boolean carriedOut =
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWorker.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWorker.java
@@ -23,6 +23,9 @@
  * A worker that implements leases, fencing tokens and lists of finished runs like the platform's.
  */
 final class SimulatedWorker {
+  /** Longest lease that a worker accepts. */
+  static final long MAXIMUM_LEASE_MILLISECONDS = 10_000;
+
   final String name;
   String address;
   final PoolId pool;
@@ -84,6 +87,15 @@
     return report().key();
   }
 
+  /**
+   * Returns the end of the lease that this worker derives from a command to the given incarnation.
+   * A deadline on the clock of a former incarnation is far in the future of a new one.
+   */
+  long leaseDeadline(WorkerKey addressee, long leaseMilliseconds, long now) {
+    boolean isSameClock = key().equals(addressee);
+    return now + (isSameClock ? leaseMilliseconds : MAXIMUM_LEASE_MILLISECONDS);
+  }
+
   Iterable<Run> runs() {
     return runs.values();
   }
