Keep a run whose start was not answered for the longest lease

Cause: a worker restarts, executes a start that was sent to its former incarnation, and is cut off before the response. The deadline is on the former clock, so the new incarnation takes the longest lease; the leader, which gets no status any more, counts the lease that it sent and starts the task elsewhere.

Ruled out: telling the incarnations apart at the worker (a start names only the id), and a deadline that no later clock can misread (it begins anew).

Change: while a start may have been executed without an answer, the task of a silent worker is released after the longest lease from the end of its delivery. Tasks whose start was answered are released as before.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerSettings.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerSettings.java
@@ -92,7 +92,12 @@
    * the longest lease only.
    */
   public long restartedLeaseMilliseconds() {
-    return COMMAND_DELIVERY_MILLISECONDS + expiryMilliseconds(maximumLeaseMilliseconds);
+    return COMMAND_DELIVERY_MILLISECONDS + longestLeaseExpiryMilliseconds();
+  }
+
+  /** Returns the time after which the longest lease that a worker accepts has certainly expired. */
+  public long longestLeaseExpiryMilliseconds() {
+    return expiryMilliseconds(maximumLeaseMilliseconds);
   }
 
   /**
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -124,6 +124,14 @@
     return worker.map(assigned -> assigned.unreachable).orElse(true);
   }
 
+  /** Returns whether a start of the current run was sent and may be executed without an answer. */
+  boolean mayHaveUnansweredStart() {
+    return switch (runState) {
+      case SENT, UNCERTAIN, STOPPING -> isAssigned() && startExecutableUntil != Long.MIN_VALUE;
+      case RECORDING, RUNNING -> false;
+    };
+  }
+
   /** Returns whether the worker has confirmed that it runs the task. */
   boolean isRunning() {
     return isAssigned() && runState == RunState.RUNNING;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
@@ -219,6 +219,16 @@
     found.get().unreachable = true;
   }
 
+  /**
+   * Returns whether a start without a response may have been executed by a later incarnation of the
+   * worker, which takes the longest lease for it and may not have responded since.
+   */
+  private boolean mayRunOnRestartedWorker(Task task, long now) {
+    return task.mayHaveUnansweredStart()
+        && (task.startExecutableUntil == Long.MAX_VALUE
+            || now <= task.startExecutableUntil + settings.longestLeaseExpiryMilliseconds());
+  }
+
   /**
    * Releases the tasks of workers whose leases have certainly expired, and removes unlisted ones.
    */
@@ -228,9 +238,11 @@
         continue;
       }
       for (Task task : List.copyOf(worker.tasks.values())) {
-        lifecycle.release(task, "lease_expired");
+        if (!mayRunOnRestartedWorker(task, now)) {
+          lifecycle.release(task, "lease_expired");
+        }
       }
-      if (!worker.listed) {
+      if (!worker.listed && worker.tasks.isEmpty()) {
         workers.remove(worker);
       }
     }
