Count the longest lease for a start that a later incarnation answered

Cause: the response names no incarnation, so the leader took it for one of the incarnation that it had called, and counted the lease that it had granted. A later incarnation takes the deadline for one on its own clock, which begins anew, and so accepts the longest lease.

Change: the clock in the response tells the incarnations apart. A clock before the lower bound of the estimate is that of a later incarnation, and the lease is then counted as the longest one.

--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerClockEstimate.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerClockEstimate.java
@@ -8,6 +8,9 @@
  * was read earlier.
  */
 final class WorkerClockEstimate {
+  /** A worker's clock may be 2 % slow; 1/40 leaves a margin. */
+  private static final long DRIFT_DIVISOR = 40;
+
   private boolean known;
   private long clockMilliseconds;
   private long observedAt;
@@ -25,6 +28,11 @@
     return known;
   }
 
+  /** Returns a lower bound of the clock at the given time, if the worker has not started again. */
+  long earliestAt(long now) {
+    return estimateAt(now) - (now - observedAt) / DRIFT_DIVISOR;
+  }
+
   long estimateAt(long now) {
     return clockMilliseconds + (now - observedAt);
   }
--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
@@ -194,7 +194,13 @@
     }
     scheduler.onLeaseSent(worker.key(), now);
     client
-        .start(worker, start, leaseDeadline(now), leadership.epoch(), COMMAND_TIMEOUT_MILLISECONDS)
+        .start(
+            worker,
+            start,
+            leaseDeadline(now),
+            workerClock.earliestAt(now),
+            leadership.epoch(),
+            COMMAND_TIMEOUT_MILLISECONDS)
         .thenAccept(outcome -> onStartAnswered(start, outcome));
   }
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
@@ -73,6 +73,11 @@
           start.task(), start.attempt(), start.worker(), outcome, found.isPresent());
     }
     found.ifPresent(task -> limitStartDelivery(task, outcome, now));
+    if (outcome == StartOutcome.STARTED_BY_LATER_INCARNATION) {
+      workers
+          .find(start.worker().id())
+          .ifPresent(worker -> workerTracker.onStartedByLaterIncarnation(worker, now));
+    }
     if (found.isEmpty() || found.get().runState != Task.RunState.SENT) {
       return;
     }
@@ -80,7 +85,7 @@
     switch (outcome) {
       // A superseded start has run and ended, or was stopped before: the worker's next status
       // tells.
-      case STARTED, SUPERSEDED -> {
+      case STARTED, STARTED_BY_LATER_INCARNATION, SUPERSEDED -> {
         task.runState = Task.RunState.RUNNING;
         task.confirmedAt = now;
       }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/StartOutcome.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/StartOutcome.java
@@ -4,6 +4,8 @@
 public enum StartOutcome {
   /** The worker runs the task. */
   STARTED,
+  /** The worker has started again and runs the task, under a lease that is longer than granted. */
+  STARTED_BY_LATER_INCARNATION,
   /** The worker has received a higher fencing token, so another node leads. */
   FENCED,
   /** This run or a later one has already ended on the worker. */
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
@@ -148,6 +148,15 @@
         Math.max(worker.leaseExpiresAt, now + settings.restartedLeaseMilliseconds());
   }
 
+  /**
+   * Handles a start that was executed by a later incarnation, which took its deadline for one on
+   * its own clock.
+   */
+  void onStartedByLaterIncarnation(Worker worker, long now) {
+    worker.leaseExpiresAt =
+        Math.max(worker.leaseExpiresAt, now + settings.longestLeaseExpiryMilliseconds());
+  }
+
   /** Marks a worker as no longer listed in the store. */
   void onWorkerUnlisted(InstanceId id) {
     workers
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedExecution.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedExecution.java
@@ -77,6 +77,9 @@
       boolean isLate = at < now();
       runs.onStarted(start, worker, fleet.isLeading(leader) && !isLate, now());
     }
+    if (outcome == StartOutcome.STARTED && !worker.key().equals(start.worker())) {
+      return StartOutcome.STARTED_BY_LATER_INCARNATION;
+    }
     return outcome;
   }
 
