Apply the end of a run that was released without one

Cause: a run is released when its lease has certainly expired, or when a status lacks it. If the worker listed its end after that, the end counted as stale: it was acknowledged and dropped, although the task had not been started again.

Change: while the task waits, an end done completes it, and a run that is listed as running is taken up again. A failure that is listed later counts once; a leader does not count those that its predecessor may have counted.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -99,7 +99,7 @@
     lifecycle = new TaskLifecycle(jobs, teamUsage, workerHealth, outbox, settings);
     inheritedStartsExecutableUntil = predecessorLastRecordAt + settings.startDeliveryMilliseconds();
     workerTracker = new WorkerTracker(workers, lifecycle, settings, inheritedLeasesExpireAt);
-    statusProcessor = new WorkerStatusProcessor(workers, workerTracker, lifecycle, outbox);
+    statusProcessor = new WorkerStatusProcessor(workers, workerTracker, jobs, lifecycle, outbox);
     commandTracker = new CommandTracker(workers, workerTracker, lifecycle, settings);
     WorkerSelector workerSelector = new WorkerSelector(workerHealth);
     taskPlacer = new TaskPlacer(workers, jobs, teamUsage, lifecycle, workerSelector);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -47,6 +47,9 @@
   /** Key of the current run's worker while the task is assigned; the worker may be gone. */
   Optional<WorkerKey> workerKey = Optional.empty();
 
+  /** Attempts that have certainly ended, but whose end was not listed by their worker. */
+  private final Set<Integer> attemptsWithUnknownEnd = new HashSet<>(0);
+
   /** Workers on which a run of this task failed. */
   final Set<InstanceId> failedOn = new HashSet<>(0);
 
@@ -124,6 +127,16 @@
     return worker.map(assigned -> assigned.unreachable).orElse(true);
   }
 
+  /** Notes that the current run has certainly ended, in a way that is not known. */
+  void onEndUnknown() {
+    attemptsWithUnknownEnd.add(attempt);
+  }
+
+  /** Notes how an attempt ended; returns false if that was known before. */
+  boolean learnEnd(int endedAttempt) {
+    return attemptsWithUnknownEnd.remove(endedAttempt);
+  }
+
   /** Returns whether a start of the current run was sent and may be executed without an answer. */
   boolean mayHaveUnansweredStart() {
     return switch (runState) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -82,6 +82,21 @@
     addToWorker(task, worker);
   }
 
+  /** Assigns a waiting task to the worker that lists its last run, which has not ended. */
+  void resumeRun(Task task, Worker worker, long now) {
+    logger.atInfo().log(
+        "event=run_resumed task=%s attempt=%d worker=%s", task.id, task.attempt, worker.key);
+    task.learnEnd(task.attempt);
+    task.phase = TaskProgress.Phase.ASSIGNED;
+    task.assignedAt = now;
+    task.percentChangedAt = now;
+    task.runState = Task.RunState.RUNNING;
+    task.confirmedAt = now;
+    task.pacePercent = Task.UNKNOWN_PACE;
+    addToWorker(task, worker);
+    outbox.markChanged(task.job);
+  }
+
   private void addToWorker(Task task, Worker worker) {
     task.worker = Optional.of(worker);
     task.workerKey = Optional.of(worker.key);
@@ -141,6 +156,15 @@
     closeIfEnded(task.job);
   }
 
+  /**
+   * Releases a task whose run has certainly ended although no end was listed. Its worker may still
+   * list the end later.
+   */
+  void releaseWithoutEnd(Task task, String cause) {
+    task.onEndUnknown();
+    release(task, cause);
+  }
+
   /** Stops the run of an assigned task. */
   void stopRun(Task task, long now) {
     if (!task.isAssigned() || task.worker.isEmpty()) {
@@ -181,6 +205,7 @@
   /** Applies the end of a run that the task's worker listed. */
   void onRunEnded(
       Task task, EndReason reason, String checkpoint, long now, long wallClockMilliseconds) {
+    task.learnEnd(task.attempt);
     setCheckpoint(task, checkpoint);
     if (reason == EndReason.DONE && !task.step.getLongRunning()) {
       task.worker.ifPresent(
@@ -255,10 +280,30 @@
     boolean longRunning = task.step.getLongRunning();
     task.earliestStartAt =
         now + (longRunning ? LONG_RUNNING_RETRY_DELAY_MILLISECONDS : RETRY_DELAY_MILLISECONDS);
+    release(task, "failed");
+    failJobAtLimit(task, now, wallClockMilliseconds);
+  }
+
+  /**
+   * Applies the end of a run whose task was released without it, and may have been assigned again
+   * since. A failure counts if it is not known yet; a leader may list one that its predecessor has
+   * counted.
+   */
+  void onEarlierRunEnded(
+      Task task, int attempt, EndReason reason, long now, long wallClockMilliseconds) {
+    if (reason != EndReason.FAILED || !task.learnEnd(attempt)) {
+      return;
+    }
+    task.failures++;
+    outbox.markChanged(task.job);
+    failJobAtLimit(task, now, wallClockMilliseconds);
+  }
+
+  private void failJobAtLimit(Task task, long now, long wallClockMilliseconds) {
     int limit = Math.max(1, task.job.policy.getMaximumAttempts());
     int failures = task.step.getGang() ? countGangFailures(task) : task.failures;
-    release(task, "failed");
-    if (!longRunning && failures >= limit && task.job.isOpen()) {
+    boolean isLimited = !task.step.getLongRunning() && task.job.isOpen();
+    if (isLimited && failures >= limit) {
       endJob(
           task.job,
           JobProgress.Phase.FAILED,
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.flamingochute.decision.identity.TaskId;
+import org.flamingochute.scheduling.worker.EndReason;
 import org.flamingochute.scheduling.worker.FinishedTask;
 import org.flamingochute.scheduling.worker.RunningTask;
 import org.flamingochute.scheduling.worker.WorkerKey;
@@ -28,13 +29,19 @@
 
   private final WorkerRegistry workers;
   private final WorkerTracker workerTracker;
+  private final JobRegistry jobs;
   private final TaskLifecycle lifecycle;
   private final Outbox outbox;
 
   WorkerStatusProcessor(
-      WorkerRegistry workers, WorkerTracker workerTracker, TaskLifecycle lifecycle, Outbox outbox) {
+      WorkerRegistry workers,
+      WorkerTracker workerTracker,
+      JobRegistry jobs,
+      TaskLifecycle lifecycle,
+      Outbox outbox) {
     this.workers = workers;
     this.workerTracker = workerTracker;
+    this.jobs = jobs;
     this.lifecycle = lifecycle;
     this.outbox = outbox;
   }
@@ -76,15 +83,7 @@
       }
       worker.lastAppliedFinishedNumber = finishedRun.number();
       anyApplied = true;
-      Task task = worker.tasks.get(finishedRun.task());
-      if (task == null || task.attempt != finishedRun.attempt()) {
-        logger.atInfo().log(
-            "event=stale_end task=%s attempt=%d worker=%s reason=%s",
-            finishedRun.task(), finishedRun.attempt(), worker.key, finishedRun.reason());
-        continue;
-      }
-      lifecycle.onRunEnded(
-          task, finishedRun.reason(), finishedRun.checkpoint(), now, wallClockMilliseconds);
+      applyFinishedRun(worker, finishedRun, now, wallClockMilliseconds);
     }
     if (anyApplied) {
       outbox.sendAfterRecording(
@@ -93,6 +92,38 @@
     }
   }
 
+  private void applyFinishedRun(
+      Worker worker, FinishedTask end, long now, long wallClockMilliseconds) {
+    Optional<Task> found = findRun(worker, end.task(), end.attempt());
+    boolean isCurrent =
+        found.isPresent() && (found.get().isAssigned() || end.reason() == EndReason.DONE);
+    if (isCurrent) {
+      lifecycle.onRunEnded(found.get(), end.reason(), end.checkpoint(), now, wallClockMilliseconds);
+      return;
+    }
+    logger.atInfo().log(
+        "event=stale_end task=%s attempt=%d worker=%s reason=%s",
+        end.task(), end.attempt(), worker.key, end.reason());
+    jobs.find(end.task())
+        .ifPresent(
+            task ->
+                lifecycle.onEarlierRunEnded(
+                    task, end.attempt(), end.reason(), now, wallClockMilliseconds));
+  }
+
+  /**
+   * Returns the task of a listed run, unless another run of the task has been assigned since. A
+   * task that waits because its lease seemed to have expired, or its start to be lost, has not been
+   * started again, so the listed run is still the current one.
+   */
+  private Optional<Task> findRun(Worker worker, TaskId id, int attempt) {
+    Task assigned = worker.tasks.get(id);
+    if (assigned != null) {
+      return Optional.of(assigned).filter(task -> task.attempt == attempt);
+    }
+    return jobs.find(id).filter(task -> task.isWaiting() && task.attempt == attempt);
+  }
+
   private void applyRunningTasks(
       Worker worker,
       List<RunningTask> running,
@@ -101,11 +132,17 @@
       long now) {
     Set<TaskId> listedTasks = new HashSet<>();
     for (RunningTask runningTask : running) {
-      Task task = worker.tasks.get(runningTask.task());
-      if (task == null || task.attempt != runningTask.attempt()) {
+      Optional<Task> found = findRun(worker, runningTask.task(), runningTask.attempt());
+      boolean isCurrent =
+          found.isPresent() && (found.get().isAssigned() || found.get().job.isOpen());
+      if (!isCurrent) {
         stopUnknownRun(worker, runningTask);
         continue;
       }
+      Task task = found.get();
+      if (task.isWaiting()) {
+        lifecycle.resumeRun(task, worker, now);
+      }
       listedTasks.add(runningTask.task());
       if (task.runState == Task.RunState.STOPPING && sentAt > task.confirmedAt) {
         // The confirmation was that of a former incarnation, so the stop must be repeated.
@@ -122,7 +159,7 @@
               && sentAt > task.confirmedAt
               && sentAt > task.startExecutableUntil;
       if (mustBeListed && !listedTasks.contains(task.id)) {
-        lifecycle.release(task, "not_on_worker");
+        lifecycle.releaseWithoutEnd(task, "not_on_worker");
       }
     }
   }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
@@ -248,7 +248,7 @@
       }
       for (Task task : List.copyOf(worker.tasks.values())) {
         if (!mayRunOnRestartedWorker(task, now)) {
-          lifecycle.release(task, "lease_expired");
+          lifecycle.releaseWithoutEnd(task, "lease_expired");
         }
       }
       if (!worker.listed && worker.tasks.isEmpty()) {
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/StopRepetitionTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/StopRepetitionTest.java
@@ -27,13 +27,14 @@
   private final SchedulerSettings settings = SchedulerSettings.builder().build();
   private final WorkerRegistry workers = new WorkerRegistry();
   private final Outbox outbox = new Outbox();
+  private final JobRegistry jobs = new JobRegistry();
   private final TaskLifecycle lifecycle =
-      new TaskLifecycle(new JobRegistry(), new TeamUsage(), new WorkerHealth(), outbox, settings);
+      new TaskLifecycle(jobs, new TeamUsage(), new WorkerHealth(), outbox, settings);
   private final WorkerTracker workerTracker = new WorkerTracker(workers, lifecycle, settings, 0);
   private final CommandTracker commandTracker =
       new CommandTracker(workers, workerTracker, lifecycle, settings);
   private final WorkerStatusProcessor statusProcessor =
-      new WorkerStatusProcessor(workers, workerTracker, lifecycle, outbox);
+      new WorkerStatusProcessor(workers, workerTracker, jobs, lifecycle, outbox);
 
   private Task startTask() {
     Job job =
