Acknowledge finished runs only on the connection of their status

Callers see: a worker that starts again under its id may forget an end that nobody recorded, and the task runs again after that end was taken note of (TWICE).

Cause: a renewal names the worker but not its incarnation, and the numbers of ends begin anew in each one.

Ruled out: naming the incarnation in the call (X-Target-Instance is the id, which both have); any connection that is open already (a command may have opened it to the next incarnation).

An acknowledgement is sent only on the connection of the newest status of its incarnation. A worker that closes its connection after each response gets no acknowledgement any more.

An acknowledgement that is held back on its way is not covered.

--- a/load/src/test/java/org/flamingochute/load/HttpCallSenderTest.java
+++ b/load/src/test/java/org/flamingochute/load/HttpCallSenderTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import org.flamingochute.platform.HeaderField;
+import org.flamingochute.platform.http.ConnectionId;
 import org.flamingochute.platform.http.ExchangeResult;
 import org.flamingochute.platform.http.UnknownCause;
 import org.flamingochute.schema.CallKind;
@@ -36,7 +37,8 @@
         outcome.isEmpty() ? List.of() : List.of(new HeaderField("flamingochute-outcome", outcome));
     byte[] body = answerTo.isEmpty() ? new byte[0] : TaggedBody.create(answerTo, 40);
     AttemptOutcome result =
-        HttpCallSender.toOutcome(CALL, new ExchangeResult.Answered(status, headers, body));
+        HttpCallSender.toOutcome(
+            CALL, new ExchangeResult.Answered(status, headers, body, new ConnectionId(1)));
     assertThat(result.toString(), equalTo(expectedOutcome));
   }
 
--- a/node/src/main/java/org/flamingochute/node/leadership/FinishedRunCursor.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/FinishedRunCursor.java
@@ -8,8 +8,9 @@
  *
  * <p>The numbers of finished runs begin anew in each incarnation, and a renewal does not name the
  * incarnation that it is sent to. An acknowledgement that reached the next incarnation would make
- * it forget runs that nobody has recorded. So an acknowledgement is sent once, and only directly
- * after a status of this incarnation; after a failed renewal a new status comes first.
+ * it forget runs that nobody has recorded. So an acknowledgement is sent once, and only after a
+ * status of this incarnation, on the connection of that status; after a renewal that failed or was
+ * not sent, a new status comes first.
  */
 final class FinishedRunCursor {
   /** Acknowledges no run. */
@@ -49,6 +50,13 @@
     return renewed && lastRecorded > lastAcknowledged ? lastRecorded : NONE;
   }
 
+  /**
+   * Returns whether recorded runs remain to be acknowledged besides those up to the given number.
+   */
+  boolean hasUnacknowledgedBeyond(long acknowledgement) {
+    return lastRecorded > Math.max(lastAcknowledged, acknowledgement);
+  }
+
   /** Returns the highest number in the worker's statuses. */
   long lastListed() {
     return lastListed;
--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
@@ -1,7 +1,10 @@
 package org.flamingochute.node.leadership;
 
 import io.activej.eventloop.Eventloop;
+import java.util.Optional;
 import org.flamingochute.node.NodeClock;
+import org.flamingochute.platform.http.ConnectionId;
+import org.flamingochute.platform.wire.Acknowledgement;
 import org.flamingochute.platform.wire.LeaseRenewalOutcome;
 import org.flamingochute.platform.wire.TaskStopOutcome;
 import org.flamingochute.platform.wire.WorkerClient;
@@ -40,6 +43,7 @@
   private final WorkerClockEstimate workerClock = new WorkerClockEstimate();
   private final FinishedRunCursor finishedRuns = new FinishedRunCursor();
   private WorkerReport worker;
+  private Optional<ConnectionId> statusConnection = Optional.empty();
   private long retryDelayMilliseconds = MINIMUM_RETRY_DELAY_MILLISECONDS;
   private boolean stopped;
   private boolean waitingForRecording;
@@ -86,9 +90,12 @@
     // other workers, so a renewal without a deadline only requests such a worker's status.
     boolean extending = workerClock.isKnown() && !scheduler.isUnreachable(worker.key());
     long deadline = extending ? leaseDeadline(sentAt) : 0;
-    boolean mayWait = extending && !finishedRuns.hasUnrecorded();
-    long longPollMilliseconds = mayWait ? LONG_POLL_MILLISECONDS : 0;
     long acknowledgement = finishedRuns.nextAcknowledgement();
+    boolean mayWait =
+        extending
+            && !finishedRuns.hasUnrecorded()
+            && !finishedRuns.hasUnacknowledgedBeyond(acknowledgement);
+    long longPollMilliseconds = mayWait ? LONG_POLL_MILLISECONDS : 0;
     if (extending) {
       scheduler.onLeaseSent(worker.key(), sentAt);
     }
@@ -97,12 +104,18 @@
             worker,
             deadline,
             leadership.epoch(),
-            acknowledgement,
+            acknowledgementOf(acknowledgement),
             longPollMilliseconds,
             longPollMilliseconds + RENEWAL_TIMEOUT_MARGIN_MILLISECONDS)
         .thenAccept(result -> onRenewalResult(result, sentAt, acknowledgement));
   }
 
+  private Optional<Acknowledgement> acknowledgementOf(long number) {
+    return number == FinishedRunCursor.NONE
+        ? Optional.empty()
+        : statusConnection.map(connection -> new Acknowledgement(number, connection));
+  }
+
   private long leaseDeadline(long now) {
     return workerClock.isKnown() ? workerClock.estimateAt(now) + leadership.leaseMilliseconds() : 0;
   }
@@ -119,11 +132,16 @@
       }
       case LeaseRenewalOutcome.Renewed renewed -> {
         retryDelayMilliseconds = MINIMUM_RETRY_DELAY_MILLISECONDS;
+        statusConnection = Optional.of(renewed.connection());
         workerClock.observe(renewed.status().clockMilliseconds(), clock.steadyMilliseconds());
         finishedRuns.onRenewed(acknowledgement, renewed.status().finished());
         applyStatus(renewed, sentAt);
         continueAfter(renewed);
       }
+      case LeaseRenewalOutcome.NotSent notSent -> {
+        finishedRuns.onRenewalFailed();
+        loop.delay(MINIMUM_RETRY_DELAY_MILLISECONDS, this::renew);
+      }
       case LeaseRenewalOutcome.Fenced fenced -> leadership.onFenced("worker " + worker.key());
       case LeaseRenewalOutcome.Gone gone -> {
         scheduler.onRenewalFailed(worker.key(), true, "gone");
--- a/node/src/test/java/org/flamingochute/node/leadership/WorkerSessionTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/WorkerSessionTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -42,6 +43,10 @@
 class WorkerSessionTest {
   private static final long TIMEOUT_SECONDS = 60;
   private static final long LAST_FINISHED = 5;
+
+  /** Time after a response within which its connection becomes idle. */
+  private static final long RELEASE_MILLISECONDS = 200;
+
   private static final WorkerKey FORMER = new WorkerKey(new InstanceId("w"), 1);
   private static final WorkerKey SUCCESSOR = new WorkerKey(new InstanceId("w"), 2);
   private static final TaskId TASK = new TaskId(new JobId("00000000000000aa"), 0, 0, 0);
@@ -72,9 +77,29 @@
       exchange.close();
     }
 
+    /** Responds, and closes the connection after the response. */
+    private void respondAndClose(String json) throws IOException {
+      exchange.getResponseHeaders().add("Connection", "close");
+      respond(json);
+    }
+
     private void close() {
       exchange.close();
     }
+
+    private boolean isRenewal() {
+      return body.startsWith("/hold");
+    }
+
+    private boolean acknowledges(long number) {
+      return body.contains("\"ack_cursor\":" + number + ",")
+          || body.contains("\"ack_cursor\":" + number + "}");
+    }
+
+    /** Returns the client's port, which tells connections apart. */
+    private int port() {
+      return exchange.getRemoteAddress().getPort();
+    }
   }
 
   private final class TestContext implements LeadershipContext {
@@ -194,6 +219,63 @@
     assertThat(acknowledgements, empty());
   }
 
+  private static final String ENDED =
+      status(FORMER, "[5,\"00000000000000aa.0.0.0\",1,\"done\",\"\"]");
+
+  /**
+   * Answers renewals with the same status until one acknowledges its end; returns whether that one
+   * arrived on the connection of the last status before it.
+   */
+  private boolean isAcknowledgedOnConnectionOfStatus(int firstPort) throws Exception {
+    int statusPort = firstPort;
+    while (true) {
+      Call call = nextCall();
+      if (!call.isRenewal()) {
+        continue;
+      }
+      if (call.acknowledges(LAST_FINISHED)) {
+        return call.port() == statusPort;
+      }
+      statusPort = call.port();
+      call.respond(ENDED);
+    }
+  }
+
+  /**
+   * Guards against TWICE: the worker ends after it has listed an end, and the acknowledgement opens
+   * a connection to its next incarnation, which forgets its own end of the same number.
+   */
+  @Test
+  void acknowledgementOpensNoConnection() throws Exception {
+    WorkerSession session = startSession(FORMER);
+    Call call = nextCall();
+    call.respondAndClose(ENDED);
+    loop.execute(() -> session.acknowledge(LAST_FINISHED));
+    assertThat(isAcknowledgedOnConnectionOfStatus(call.port()), is(true));
+  }
+
+  /**
+   * Guards against TWICE: an acknowledgement is sent on a connection that another command has
+   * opened, possibly to the next incarnation.
+   */
+  @Test
+  void acknowledgementUsesNoConnectionOfOtherCommands() throws Exception {
+    WorkerSession session = startSession(FORMER);
+    nextCall().respond(status(FORMER, ""));
+    final Call longPoll = nextCall();
+    SchedulerCommand.StopTask stop = new SchedulerCommand.StopTask(FORMER, TASK, 1);
+    loop.execute(() -> session.stopTask(stop));
+    nextCall().respond("{\"clock_ms\":1000}");
+    longPoll.respond(ENDED);
+    Thread.sleep(RELEASE_MILLISECONDS);
+    loop.execute(
+        () -> {
+          session.stopTask(stop);
+          session.acknowledge(LAST_FINISHED);
+        });
+    assertThat(isAcknowledgedOnConnectionOfStatus(longPoll.port()), is(true));
+  }
+
   /**
    * Guards against TWICE: a leader that was paused while its record was stored sends the start
    * after its successor has found the run's lease expired.
