Grant no lease by an old reading of a worker's clock

Callers see: after an outage of the store of some 15 s or more, a worker that is cut off soon after may still run a task when its second run begins elsewhere (TWICE).

Cause: while the term is not confirmed, sessions call no worker, and none of them counts as unreachable. The first renewal or start afterwards computed its deadline from the response before the outage. A clock that is 2 % slow has fallen behind by 2 % of the outage, and the lease lasts longer than the leader counts by as much. A worker that has started again meanwhile has a new clock, and takes the deadline for the longest lease.

Ruled out: a worker whose calls fail (it counts as unreachable, and its lease is not extended); a long poll (at most 1.6 s). Only the wait for the store lets a reading become old.

Change: a reading older than 5 s grants no lease. As for a worker whose clock is not known, a status without a deadline comes first, and a start is not sent.

Evidence: WorkerSessionTest.leaseIsNotGrantedByAnOldReadingOfTheWorkersClock fails before (1 run: a start with a deadline computed over 20 s) and holds after (1 run).

--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerClockEstimate.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerClockEstimate.java
@@ -5,9 +5,17 @@
  *
  * <p>The estimate is never ahead of the worker's clock by more than the drift since the last
  * response: it treats the value in a response as the clock at the response's arrival, although it
- * was read earlier.
+ * was read earlier. The drift of a slow clock grows with the time since the response, and a lease
+ * whose deadline is ahead of the worker's clock lasts longer than the leader counts. So an estimate
+ * from an old response is not used.
  */
 final class WorkerClockEstimate {
+  /**
+   * Age up to which the margin in the expiry of a lease covers the drift. It is longer than any
+   * time between two responses of a worker that responds.
+   */
+  private static final long MAXIMUM_AGE_MILLISECONDS = 5_000;
+
   private boolean known;
   private long clockMilliseconds;
   private long observedAt;
@@ -21,8 +29,9 @@
     }
   }
 
-  boolean isKnown() {
-    return known;
+  /** Returns whether the worker's clock is known well enough to grant a lease. */
+  boolean isRecent(long now) {
+    return known && now - observedAt <= MAXIMUM_AGE_MILLISECONDS;
   }
 
   long estimateAt(long now) {
--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
@@ -88,7 +88,7 @@
     long sentAt = clock.steadyMilliseconds();
     // Extending the lease of a worker that does not respond would delay the restart of its tasks on
     // other workers, so a renewal without a deadline only requests such a worker's status.
-    boolean extending = workerClock.isKnown() && !scheduler.isUnreachable(worker.key());
+    boolean extending = workerClock.isRecent(sentAt) && !scheduler.isUnreachable(worker.key());
     long deadline = extending ? leaseDeadline(sentAt) : 0;
     long acknowledgement = finishedRuns.nextAcknowledgement();
     boolean mayWait =
@@ -117,7 +117,7 @@
   }
 
   private long leaseDeadline(long now) {
-    return workerClock.isKnown() ? workerClock.estimateAt(now) + leadership.leaseMilliseconds() : 0;
+    return workerClock.estimateAt(now) + leadership.leaseMilliseconds();
   }
 
   private void onRenewalResult(LeaseRenewalOutcome result, long sentAt, long acknowledgement) {
@@ -199,7 +199,7 @@
 
   void startTask(SchedulerCommand.StartTask start) {
     long now = clock.steadyMilliseconds();
-    if (!workerClock.isKnown()) {
+    if (!workerClock.isRecent(now)) {
       scheduler.onStartAnswered(start, StartOutcome.NOT_RUN, now, clock.wallClockMilliseconds());
       leadership.onChanged();
       return;
--- a/node/src/test/java/org/flamingochute/node/leadership/WorkerSessionTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/WorkerSessionTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.flamingochute.decision.identity.DataCentreId;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.JobId;
@@ -44,6 +45,8 @@
   private static final long TIMEOUT_SECONDS = 60;
   private static final long LAST_FINISHED = 5;
 
+  private static final long OUTAGE_MILLISECONDS = 20_000;
+
   /** Time after a response within which its connection becomes idle. */
   private static final long RELEASE_MILLISECONDS = 200;
 
@@ -55,7 +58,14 @@
   private final ExchangeClient exchanges =
       new ExchangeClient(group, ExchangeLimits.builder().build(), ExchangeListener.NONE);
   private final Eventloop loop = group.next();
-  private final NodeClock clock = new NodeClock();
+  private final AtomicLong clockAdvance = new AtomicLong();
+  private final NodeClock clock =
+      new NodeClock() {
+        @Override
+        public long steadyMilliseconds() {
+          return super.steadyMilliseconds() + clockAdvance.get();
+        }
+      };
   private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
   private final Scheduler scheduler =
       new Scheduler(
@@ -96,6 +106,10 @@
           || body.contains("\"ack_cursor\":" + number + "}");
     }
 
+    private boolean grantsLease() {
+      return body.contains("\"deadline_ms\"");
+    }
+
     /** Returns the client's port, which tells connections apart. */
     private int port() {
       return exchange.getRemoteAddress().getPort();
@@ -305,4 +319,31 @@
     }
     assertThat(starts, empty());
   }
+
+  /**
+   * Guards against TWICE: leases are granted again after an outage of the store, by a reading of
+   * the worker's clock from before it. A slow clock has fallen behind so far that the lease
+   * outlasts the time that the leader counts.
+   */
+  @Test
+  void leaseIsNotGrantedByAnOldReadingOfTheWorkersClock() throws Exception {
+    final WorkerSession session = startSession(FORMER);
+    nextCall().respond(status(FORMER, ""));
+    final Call longPoll = nextCall();
+    assertThat(longPoll.grantsLease(), is(true));
+    canRenewLeases = false;
+    longPoll.respond(status(FORMER, ""));
+    Thread.sleep(RELEASE_MILLISECONDS);
+    loop.submit(
+            () -> {
+              clockAdvance.set(OUTAGE_MILLISECONDS);
+              canRenewLeases = true;
+              session.startTask(new SchedulerCommand.StartTask(FORMER, TASK, 1, "", ""));
+            })
+        .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    Call afterOutage = nextCall();
+    assertThat(afterOutage.body(), afterOutage.grantsLease(), is(false));
+    afterOutage.respond(status(FORMER, ""));
+    assertThat(nextCall().grantsLease(), is(true));
+  }
 }
