Forget jobs that were deleted while a trimmed topic was not followed

Cause: a follower whose next record is trimmed reads the newest records of all keys. FleetState applied these and kept every job besides. A node that was away from before a job's end until the deletion of its records, and whose topics were trimmed meanwhile, kept the job as open. When it led, nothing in the records contradicted it.

Ruled out: a claim before the topic is read again (LeadershipClaim reads the intake to its end first, and a refresh fails while the topic is not loaded); a topic of which only the progress is trimmed (the deletion of the definition deletes the job).

Change: the listener of a topic is told when a load starts. A job that this node stores during the load may be missing in the pages, and is kept.

Evidence: DeletedJobReloadTest.deletedJobIsForgottenAfterTheTopicWasTrimmed, with the store of the stand-in, fails before (1 run: the deleted job is known) and holds after (2 runs). CancelledJobIntakeTest, FleetStateTest and StoreFollowerTest hold (1 run).

--- a/node/src/main/java/org/flamingochute/node/FleetState.java
+++ b/node/src/main/java/org/flamingochute/node/FleetState.java
@@ -205,12 +205,39 @@
     }
   }
 
-  /** Returns the listener for the intake topic. */
+  /**
+   * Returns the listener for the intake topic. A snapshot that lacks a job which was stored before
+   * the load shows that the job was deleted; jobs stored during the load may be lacking too.
+   */
   public TopicListener intakeListener() {
     return new TopicListener() {
+      private final Set<JobId> storedBeforeLoad = new HashSet<>();
+
+      @Override
+      public void onLoadStarted() {
+        storedBeforeLoad.clear();
+        for (StoredJob job : jobs.jobs()) {
+          if (job.definition().isPresent()) {
+            storedBeforeLoad.add(job.id());
+          }
+        }
+      }
+
       @Override
       public void onSnapshot(List<StoreRecord> records) {
-        records.forEach(FleetState.this::applyIntake);
+        Set<String> presentKeys = new HashSet<>();
+        for (StoreRecord record : records) {
+          if (!record.isTombstone()) {
+            presentKeys.add(record.key());
+          }
+          applyIntake(record);
+        }
+        for (JobId job : storedBeforeLoad) {
+          if (!presentKeys.contains(ScheduleKeys.job(job))) {
+            jobs.delete(job);
+          }
+        }
+        storedBeforeLoad.clear();
       }
 
       @Override
--- a/node/src/main/java/org/flamingochute/node/store/StoreFollower.java
+++ b/node/src/main/java/org/flamingochute/node/store/StoreFollower.java
@@ -96,6 +96,7 @@
   /** Starts reading. */
   public void start() {
     loadStartedAt = Optional.of(clock.read());
+    callListener("load", listener::onLoadStarted);
     loadPage("", new ArrayList<>(), Long.MAX_VALUE);
   }
 
