Keep deciding after an exception within a decision

Callers see: nothing is scheduled until another node has taken over (LOST).

Cause: SchedulerDriver.tick planned its next call after the decision. An exception in the decision ended the calls, and with them the renewals of the term.

Without decisions no record and no start is sent.

Change: the next call is planned before the decision. A leader whose every decision throws still loses its term, since the exception comes before the renewal.

Evidence: SchedulerDriverTest.decisionsContinueAfterAnException, with a worker that no call can be sent to, fails before (1 run: no renewal within 500 polls) and holds after (1 run).

--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
@@ -129,8 +129,9 @@
     if (stopped) {
       return;
     }
-    decide();
+    // Before the decision, so that an exception in it does not end the later ones.
     tick = Optional.of(loop.delay(TICK_INTERVAL_MILLISECONDS, this::tick));
+    decide();
   }
 
   @Override
--- a/node/src/test/java/org/flamingochute/node/leadership/SchedulerDriverTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/SchedulerDriverTest.java
@@ -8,6 +8,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.flamingochute.decision.identity.DataCentreId;
+import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.decision.placement.ResourceVector;
 import org.flamingochute.node.NodeClock;
 import org.flamingochute.platform.http.EventLoopGroup;
 import org.flamingochute.platform.http.ExchangeClient;
@@ -17,12 +21,17 @@
 import org.flamingochute.platform.standin.FleetSettings;
 import org.flamingochute.platform.standin.PlatformServer;
 import org.flamingochute.platform.wire.StoreClient;
+import org.flamingochute.platform.wire.StorePageOutcome;
+import org.flamingochute.platform.wire.StoreTopic;
 import org.flamingochute.platform.wire.WorkerClient;
 import org.flamingochute.scheduling.core.PredecessorState;
 import org.flamingochute.scheduling.core.Scheduler;
 import org.flamingochute.scheduling.core.SchedulerSettings;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
+import org.flamingochute.scheduling.fleet.Pool;
 import org.flamingochute.scheduling.job.JobTable;
+import org.flamingochute.scheduling.worker.WorkerKey;
+import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.schema.scheduling.LeaderTerm;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -31,6 +40,14 @@
 /** Tests what a leader may still do while it releases its term. */
 class SchedulerDriverTest {
   private static final long AWAIT_TIMEOUT_SECONDS = 60;
+  private static final long TIMEOUT_MILLISECONDS = 10_000;
+  private static final int MAXIMUM_POLLS = 500;
+  private static final long POLL_INTERVAL_MILLISECONDS = 20;
+  private static final SchedulerSettings SETTINGS = SchedulerSettings.builder().build();
+  private static final PoolId POOL = new PoolId("p");
+
+  /** No call to this worker can be sent, so each attempt throws an exception. */
+  private static final WorkerReport UNCALLABLE = workerAt("uncallable", "nowhere");
 
   private final EventLoopGroup group = EventLoopGroup.start("driver", 1);
   private final ExchangeClient exchanges =
@@ -38,6 +55,7 @@
   private final Eventloop loop = group.next();
   private final NodeClock clock = new NodeClock();
   private PlatformServer platform;
+  private StoreClient store;
 
   @BeforeEach
   void startPlatform() throws Exception {
@@ -45,6 +63,7 @@
         PlatformServer.start(
             FleetSettings.withShortDurations(List.of(new FleetSettings.PoolSize("p", 1))),
             "127.0.0.1:0");
+    store = new StoreClient(exchanges, NumericAddress.parse(platform.address()).orElseThrow());
   }
 
   @AfterEach
@@ -54,26 +73,27 @@
     platform.close();
   }
 
-  private SchedulerDriver createDriver() {
-    SchedulerSettings settings = SchedulerSettings.builder().build();
+  private Scheduler createScheduler() {
+    return new Scheduler(
+        SETTINGS,
+        FleetDeclaration.builder().version(1).pool(new Pool(POOL, true, false)).build(),
+        PredecessorState.OVER,
+        0,
+        clock.steadyMilliseconds());
+  }
+
+  private SchedulerDriver createDriver(Scheduler scheduler) {
     LeadershipDependencies dependencies =
         new LeadershipDependencies(
             loop,
             clock,
-            new StoreClient(exchanges, NumericAddress.parse(platform.address()).orElseThrow()),
+            store,
             new WorkerClient(exchanges),
             Optional.empty(),
             new JobTable(),
-            settings,
+            SETTINGS,
             "node-0",
             0);
-    Scheduler scheduler =
-        new Scheduler(
-            settings,
-            FleetDeclaration.builder().version(1).build(),
-            PredecessorState.OVER,
-            0,
-            clock.steadyMilliseconds());
     LeaderTerm term = LeaderTerm.newBuilder().setEpoch(1).setInstance("node-0/1").build();
     return new SchedulerDriver(dependencies, term, clock.read(), scheduler, () -> {});
   }
@@ -87,10 +107,48 @@
     CompletableFuture<Boolean> renewable = new CompletableFuture<>();
     loop.execute(
         () -> {
-          SchedulerDriver driver = createDriver();
+          SchedulerDriver driver = createDriver(createScheduler());
           driver.release();
           renewable.complete(driver.canRenewLeases());
         });
     assertThat(renewable.get(AWAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS), is(false));
   }
+
+  private static WorkerReport workerAt(String id, String address) {
+    return new WorkerReport(
+        new WorkerKey(new InstanceId(id), 1),
+        POOL,
+        address,
+        new DataCentreId("a"),
+        ResourceVector.ZERO,
+        List.of(),
+        false);
+  }
+
+  /** Returns whether the term is renewed within some time. */
+  private boolean isTermRenewed() throws Exception {
+    for (int i = 0; i < MAXIMUM_POLLS; i++) {
+      StorePageOutcome page =
+          store
+              .readNewest(StoreTopic.SCHEDULE, "", TIMEOUT_MILLISECONDS)
+              .get(AWAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+      if (page instanceof StorePageOutcome.Page arrived && !arrived.records().isEmpty()) {
+        return true;
+      }
+      Thread.sleep(POLL_INTERVAL_MILLISECONDS);
+    }
+    return false;
+  }
+
+  /** Guards against LOST: after an exception within a decision the leader makes no more of them. */
+  @Test
+  void decisionsContinueAfterAnException() throws Exception {
+    loop.execute(
+        () -> {
+          Scheduler scheduler = createScheduler();
+          scheduler.onWorkerListed(UNCALLABLE, clock.steadyMilliseconds());
+          createDriver(scheduler).start();
+        });
+    assertThat(isTermRenewed(), is(true));
+  }
 }
