Send the commands after one that throws

Callers see: a start or an acknowledgement is never sent, or the stop of a cancelled task is not sent (LOST, UNASKED).

Cause: an exception in one command ended the loop over its batch. A start that is dropped so leaves its task assigned until the worker's lease expires; the stop of a cancelled task is repeated, and dropped again, as long as another one throws before it.

No input is known that causes such an exception: WorkerReportCodec refuses addresses that cannot be called.

Change: an exception in a command is logged as command_failed, and the next one is sent. A start counts as unanswered, so its run is stopped or listed.

Evidence: SchedulerDriverTest.commandAfterOneThatThrowsIsSent, with a worker that no call can be sent to, fails before (1 run: no stop in 10 s) and holds after (1 run).

--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
@@ -348,7 +348,21 @@
     loop.delay(DELETION_RETRY_DELAY_MILLISECONDS, () -> deleteDefinitions(expiredJobs));
   }
 
+  /** Sends a command. An unexpected error in it must not drop the commands after it. */
   private void execute(SchedulerCommand command) {
+    try {
+      send(command);
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log(
+          "event=command_failed command=%s", command.getClass().getSimpleName());
+      if (command instanceof SchedulerCommand.StartTask start) {
+        scheduler.onStartAnswered(
+            start, StartOutcome.UNKNOWN, clock.steadyMilliseconds(), clock.wallClockMilliseconds());
+      }
+    }
+  }
+
+  private void send(SchedulerCommand command) {
     switch (command) {
       case SchedulerCommand.StartTask start -> startTask(start);
       case SchedulerCommand.StopTask stop ->
--- a/node/src/test/java/org/flamingochute/node/leadership/SchedulerDriverTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/SchedulerDriverTest.java
@@ -3,13 +3,18 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import com.sun.net.httpserver.HttpServer;
 import io.activej.eventloop.Eventloop;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.flamingochute.decision.identity.DataCentreId;
 import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.placement.ResourceVector;
 import org.flamingochute.node.NodeClock;
@@ -30,9 +35,15 @@
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.Pool;
 import org.flamingochute.scheduling.job.JobTable;
+import org.flamingochute.scheduling.job.StoredJob;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
+import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.LeaderTerm;
+import org.flamingochute.schema.scheduling.QueuePolicy;
+import org.flamingochute.schema.scheduling.QueuedJob;
+import org.flamingochute.schema.scheduling.QueuedStep;
+import org.flamingochute.schema.scheduling.TaskProgress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -151,4 +162,59 @@
         });
     assertThat(isTermRenewed(), is(true));
   }
+
+  private static TaskProgress runOn(WorkerReport worker, int index) {
+    return TaskProgress.newBuilder()
+        .setIndex(index)
+        .setPhase(TaskProgress.Phase.ASSIGNED)
+        .setAttempt(1)
+        .setWorker(worker.key().id().value())
+        .setWorkerBornMilliseconds(worker.key().startedMilliseconds())
+        .build();
+  }
+
+  /** Returns a cancelled job, one of whose tasks is assigned to each worker. */
+  private static StoredJob cancelledJobOn(List<WorkerReport> workers) {
+    QueuedStep step = QueuedStep.newBuilder().setCount(workers.size()).build();
+    JobProgress.Builder progress =
+        JobProgress.newBuilder().setPhase(JobProgress.Phase.CANCELLED).setEndedMilliseconds(1);
+    for (int i = 0; i < workers.size(); i++) {
+      progress.addTasks(runOn(workers.get(i), i));
+    }
+    JobTable table = new JobTable();
+    JobId id = new JobId("00000000000000aa");
+    QueuePolicy policy = QueuePolicy.newBuilder().setService(POOL.value()).build();
+    table.define(id, QueuedJob.newBuilder().setQueue("q").setPolicy(policy).addSteps(step).build());
+    return table.updateProgress(id, progress.build());
+  }
+
+  /**
+   * Guards against LOST and UNASKED: an exception in one command drops those after it, here the
+   * stop of a cancelled task.
+   */
+  @Test
+  void commandAfterOneThatThrowsIsSent() throws Exception {
+    BlockingQueue<String> paths = new LinkedBlockingQueue<>();
+    HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+    server.createContext(
+        "/run-stop",
+        exchange -> {
+          paths.add(exchange.getRequestURI().getPath());
+          exchange.close();
+        });
+    server.start();
+    WorkerReport callable = workerAt("callable", "127.0.0.1:" + server.getAddress().getPort());
+    List<WorkerReport> workers = List.of(UNCALLABLE, callable);
+    loop.execute(
+        () -> {
+          Scheduler scheduler = createScheduler();
+          long now = clock.steadyMilliseconds();
+          workers.forEach(worker -> scheduler.onWorkerListed(worker, now));
+          scheduler.onJobStored(cancelledJobOn(workers), now, now);
+          createDriver(scheduler).start();
+        });
+    String stopped = paths.poll(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+    server.stop(0);
+    assertThat(stopped, is("/run-stop"));
+  }
 }
