Release the term of a claim that is abandoned

Callers see: after a node has stopped during its claim, nothing is scheduled until the renewal of its term is overdue, and for the time of inherited leases (LOST).

Cause: LeadershipClaim.abandon made the claim fail after its append had succeeded, and left the term in the store as one that is held.

A term without a release counts as one that may have granted leases, so its successor waits longer, not shorter. Releasing a claim whose append got no response: the append of a release would fence the leader if the claim failed.

Change: an abandoned claim whose append has succeeded appends the release, up to four times, before it fails. The release keeps the mention of earlier leases, for which the successor still waits.

Evidence: LeadershipClaimTest, with the store of the stand-in, fails before (1 run: 2 of 2 cases, the newest term is not released) and holds after (1 run).

--- a/node/src/main/java/org/flamingochute/node/leadership/LeadershipClaim.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/LeadershipClaim.java
@@ -32,8 +32,8 @@
   private static final long CALL_TIMEOUT_MILLISECONDS = 800;
   private static final int MAXIMUM_APPEND_ATTEMPTS = 4;
 
-  /** Delay before a failed read of new jobs is repeated. */
-  private static final long READ_RETRY_DELAY_MILLISECONDS = 30;
+  /** Delay before a failed read of new jobs, or a failed release, is repeated. */
+  private static final long RETRY_DELAY_MILLISECONDS = 30;
 
   private final LeadershipDependencies dependencies;
   private final LeaderMonitor monitor;
@@ -84,8 +84,8 @@
 
   /**
    * Makes the claim fail, at the latest after the next read of new jobs. An append in progress
-   * continues, and a term that it writes is not released, so that successors wait until its renewal
-   * is overdue.
+   * continues, and a term that it writes is released, so that a successor need not wait until its
+   * renewal is overdue. Only a term whose append gets no response may remain.
    */
   void abandon() {
     abandoned = true;
@@ -126,18 +126,44 @@
   }
 
   private void onNewJobsRead(boolean complete) {
-    if (abandoned) {
-      fail("abandoned");
-      return;
-    }
     if (monitor.newestTerm().getEpoch() > term.getEpoch()) {
       fail("term of " + monitor.newestTerm().getInstance());
       return;
     }
+    if (abandoned) {
+      release(MAXIMUM_APPEND_ATTEMPTS);
+      return;
+    }
     if (complete) {
       listener.onWon(term, claimedAt);
       return;
     }
-    dependencies.loop().delay(READ_RETRY_DELAY_MILLISECONDS, this::readNewJobs);
+    dependencies.loop().delay(RETRY_DELAY_MILLISECONDS, this::readNewJobs);
+  }
+
+  /** Releases the term, which has granted no leases. It may still mention those of earlier ones. */
+  private void release(int attemptsLeft) {
+    LeaderTerm released =
+        term.toBuilder().setRenewal(term.getRenewal() + 1).setReleased(true).build();
+    dependencies
+        .store()
+        .append(
+            StoreTopic.SCHEDULE,
+            List.of(new KeyedValue(ScheduleKeys.LEADER_TERM, released.toByteArray())),
+            Optional.of(new ProducerPosition(ScheduleWriter.PRODUCER, term.getEpoch(), 1)),
+            OptionalLong.empty(),
+            CALL_TIMEOUT_MILLISECONDS)
+        .thenAccept(result -> onReleaseResult(result, attemptsLeft));
+  }
+
+  private void onReleaseResult(StoreAppendOutcome result, int attemptsLeft) {
+    boolean mayRepeat =
+        result instanceof StoreAppendOutcome.Unknown
+            || result instanceof StoreAppendOutcome.Refused;
+    if (mayRepeat && attemptsLeft > 1) {
+      dependencies.loop().delay(RETRY_DELAY_MILLISECONDS, () -> release(attemptsLeft - 1));
+      return;
+    }
+    fail("abandoned, release " + result);
   }
 }
