--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
@@ -129,8 +129,9 @@
     if (stopped) {
       return;
     }
-    decide();
+    // Before the decision, so that an exception in it does not end the later ones.
     tick = Optional.of(loop.delay(TICK_INTERVAL_MILLISECONDS, this::tick));
+    decide();
   }
 
   @Override
@@ -347,7 +348,21 @@
     loop.delay(DELETION_RETRY_DELAY_MILLISECONDS, () -> deleteDefinitions(expiredJobs));
   }
 
+  /** Sends a command. An unexpected error in it must not drop the commands after it. */
   private void execute(SchedulerCommand command) {
+    try {
+      send(command);
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log(
+          "event=command_failed command=%s", command.getClass().getSimpleName());
+      if (command instanceof SchedulerCommand.StartTask start) {
+        scheduler.onStartAnswered(
+            start, StartOutcome.UNKNOWN, clock.steadyMilliseconds(), clock.wallClockMilliseconds());
+      }
+    }
+  }
+
+  private void send(SchedulerCommand command) {
     switch (command) {
       case SchedulerCommand.StartTask start -> startTask(start);
       case SchedulerCommand.StopTask stop ->
--- a/node/src/test/java/org/flamingochute/node/leadership/SchedulerDriverTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/SchedulerDriverTest.java
@@ -3,11 +3,20 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import com.sun.net.httpserver.HttpServer;
 import io.activej.eventloop.Eventloop;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.flamingochute.decision.identity.DataCentreId;
+import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.decision.identity.JobId;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.decision.placement.ResourceVector;
 import org.flamingochute.node.NodeClock;
 import org.flamingochute.platform.http.EventLoopGroup;
 import org.flamingochute.platform.http.ExchangeClient;
@@ -17,13 +26,24 @@
 import org.flamingochute.platform.standin.FleetSettings;
 import org.flamingochute.platform.standin.PlatformServer;
 import org.flamingochute.platform.wire.StoreClient;
+import org.flamingochute.platform.wire.StorePageOutcome;
+import org.flamingochute.platform.wire.StoreTopic;
 import org.flamingochute.platform.wire.WorkerClient;
 import org.flamingochute.scheduling.core.PredecessorState;
 import org.flamingochute.scheduling.core.Scheduler;
 import org.flamingochute.scheduling.core.SchedulerSettings;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
+import org.flamingochute.scheduling.fleet.Pool;
 import org.flamingochute.scheduling.job.JobTable;
+import org.flamingochute.scheduling.job.StoredJob;
+import org.flamingochute.scheduling.worker.WorkerKey;
+import org.flamingochute.scheduling.worker.WorkerReport;
+import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.LeaderTerm;
+import org.flamingochute.schema.scheduling.QueuePolicy;
+import org.flamingochute.schema.scheduling.QueuedJob;
+import org.flamingochute.schema.scheduling.QueuedStep;
+import org.flamingochute.schema.scheduling.TaskProgress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -31,6 +51,14 @@
 /** Tests what a leader may still do while it releases its term. */
 class SchedulerDriverTest {
   private static final long AWAIT_TIMEOUT_SECONDS = 60;
+  private static final long TIMEOUT_MILLISECONDS = 10_000;
+  private static final int MAXIMUM_POLLS = 500;
+  private static final long POLL_INTERVAL_MILLISECONDS = 20;
+  private static final SchedulerSettings SETTINGS = SchedulerSettings.builder().build();
+  private static final PoolId POOL = new PoolId("p");
+
+  /** No call to this worker can be sent, so each attempt throws an exception. */
+  private static final WorkerReport UNCALLABLE = workerAt("uncallable", "nowhere");
 
   private final EventLoopGroup group = EventLoopGroup.start("driver", 1);
   private final ExchangeClient exchanges =
@@ -38,6 +66,7 @@
   private final Eventloop loop = group.next();
   private final NodeClock clock = new NodeClock();
   private PlatformServer platform;
+  private StoreClient store;
 
   @BeforeEach
   void startPlatform() throws Exception {
@@ -45,6 +74,7 @@
         PlatformServer.start(
             FleetSettings.withShortDurations(List.of(new FleetSettings.PoolSize("p", 1))),
             "127.0.0.1:0");
+    store = new StoreClient(exchanges, NumericAddress.parse(platform.address()).orElseThrow());
   }
 
   @AfterEach
@@ -54,26 +84,27 @@
     platform.close();
   }
 
-  private SchedulerDriver createDriver() {
-    SchedulerSettings settings = SchedulerSettings.builder().build();
+  private Scheduler createScheduler() {
+    return new Scheduler(
+        SETTINGS,
+        FleetDeclaration.builder().version(1).pool(new Pool(POOL, true, false)).build(),
+        PredecessorState.OVER,
+        0,
+        clock.steadyMilliseconds());
+  }
+
+  private SchedulerDriver createDriver(Scheduler scheduler) {
     LeadershipDependencies dependencies =
         new LeadershipDependencies(
             loop,
             clock,
-            new StoreClient(exchanges, NumericAddress.parse(platform.address()).orElseThrow()),
+            store,
             new WorkerClient(exchanges),
             Optional.empty(),
             new JobTable(),
-            settings,
+            SETTINGS,
             "node-0",
             0);
-    Scheduler scheduler =
-        new Scheduler(
-            settings,
-            FleetDeclaration.builder().version(1).build(),
-            PredecessorState.OVER,
-            0,
-            clock.steadyMilliseconds());
     LeaderTerm term = LeaderTerm.newBuilder().setEpoch(1).setInstance("node-0/1").build();
     return new SchedulerDriver(dependencies, term, clock.read(), scheduler, () -> {});
   }
@@ -87,10 +118,103 @@
     CompletableFuture<Boolean> renewable = new CompletableFuture<>();
     loop.execute(
         () -> {
-          SchedulerDriver driver = createDriver();
+          SchedulerDriver driver = createDriver(createScheduler());
           driver.release();
           renewable.complete(driver.canRenewLeases());
         });
     assertThat(renewable.get(AWAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS), is(false));
   }
+
+  private static WorkerReport workerAt(String id, String address) {
+    return new WorkerReport(
+        new WorkerKey(new InstanceId(id), 1),
+        POOL,
+        address,
+        new DataCentreId("a"),
+        ResourceVector.ZERO,
+        List.of(),
+        false);
+  }
+
+  /** Returns whether the term is renewed within some time. */
+  private boolean isTermRenewed() throws Exception {
+    for (int i = 0; i < MAXIMUM_POLLS; i++) {
+      StorePageOutcome page =
+          store
+              .readNewest(StoreTopic.SCHEDULE, "", TIMEOUT_MILLISECONDS)
+              .get(AWAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+      if (page instanceof StorePageOutcome.Page arrived && !arrived.records().isEmpty()) {
+        return true;
+      }
+      Thread.sleep(POLL_INTERVAL_MILLISECONDS);
+    }
+    return false;
+  }
+
+  /** Guards against LOST: after an exception within a decision the leader makes no more of them. */
+  @Test
+  void decisionsContinueAfterAnException() throws Exception {
+    loop.execute(
+        () -> {
+          Scheduler scheduler = createScheduler();
+          scheduler.onWorkerListed(UNCALLABLE, clock.steadyMilliseconds());
+          createDriver(scheduler).start();
+        });
+    assertThat(isTermRenewed(), is(true));
+  }
+
+  private static TaskProgress runOn(WorkerReport worker, int index) {
+    return TaskProgress.newBuilder()
+        .setIndex(index)
+        .setPhase(TaskProgress.Phase.ASSIGNED)
+        .setAttempt(1)
+        .setWorker(worker.key().id().value())
+        .setWorkerBornMilliseconds(worker.key().startedMilliseconds())
+        .build();
+  }
+
+  /** Returns a cancelled job, one of whose tasks is assigned to each worker. */
+  private static StoredJob cancelledJobOn(List<WorkerReport> workers) {
+    QueuedStep step = QueuedStep.newBuilder().setCount(workers.size()).build();
+    JobProgress.Builder progress =
+        JobProgress.newBuilder().setPhase(JobProgress.Phase.CANCELLED).setEndedMilliseconds(1);
+    for (int i = 0; i < workers.size(); i++) {
+      progress.addTasks(runOn(workers.get(i), i));
+    }
+    JobTable table = new JobTable();
+    JobId id = new JobId("00000000000000aa");
+    QueuePolicy policy = QueuePolicy.newBuilder().setService(POOL.value()).build();
+    table.define(id, QueuedJob.newBuilder().setQueue("q").setPolicy(policy).addSteps(step).build());
+    return table.updateProgress(id, progress.build());
+  }
+
+  /**
+   * Guards against LOST and UNASKED: an exception in one command drops those after it, here the
+   * stop of a cancelled task.
+   */
+  @Test
+  void commandAfterOneThatThrowsIsSent() throws Exception {
+    BlockingQueue<String> paths = new LinkedBlockingQueue<>();
+    HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+    server.createContext(
+        "/run-stop",
+        exchange -> {
+          paths.add(exchange.getRequestURI().getPath());
+          exchange.close();
+        });
+    server.start();
+    WorkerReport callable = workerAt("callable", "127.0.0.1:" + server.getAddress().getPort());
+    List<WorkerReport> workers = List.of(UNCALLABLE, callable);
+    loop.execute(
+        () -> {
+          Scheduler scheduler = createScheduler();
+          long now = clock.steadyMilliseconds();
+          workers.forEach(worker -> scheduler.onWorkerListed(worker, now));
+          scheduler.onJobStored(cancelledJobOn(workers), now, now);
+          createDriver(scheduler).start();
+        });
+    String stopped = paths.poll(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+    server.stop(0);
+    assertThat(stopped, is("/run-stop"));
+  }
 }
--- a/node/src/test/java/org/flamingochute/node/leadership/WorkerSessionTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/WorkerSessionTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -15,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.flamingochute.decision.identity.DataCentreId;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.JobId;
@@ -42,6 +44,12 @@
 class WorkerSessionTest {
   private static final long TIMEOUT_SECONDS = 60;
   private static final long LAST_FINISHED = 5;
+
+  private static final long OUTAGE_MILLISECONDS = 20_000;
+
+  /** Time after a response within which its connection becomes idle. */
+  private static final long RELEASE_MILLISECONDS = 200;
+
   private static final WorkerKey FORMER = new WorkerKey(new InstanceId("w"), 1);
   private static final WorkerKey SUCCESSOR = new WorkerKey(new InstanceId("w"), 2);
   private static final TaskId TASK = new TaskId(new JobId("00000000000000aa"), 0, 0, 0);
@@ -50,7 +58,14 @@
   private final ExchangeClient exchanges =
       new ExchangeClient(group, ExchangeLimits.builder().build(), ExchangeListener.NONE);
   private final Eventloop loop = group.next();
-  private final NodeClock clock = new NodeClock();
+  private final AtomicLong clockAdvance = new AtomicLong();
+  private final NodeClock clock =
+      new NodeClock() {
+        @Override
+        public long steadyMilliseconds() {
+          return super.steadyMilliseconds() + clockAdvance.get();
+        }
+      };
   private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
   private final Scheduler scheduler =
       new Scheduler(
@@ -72,9 +87,33 @@
       exchange.close();
     }
 
+    /** Responds, and closes the connection after the response. */
+    private void respondAndClose(String json) throws IOException {
+      exchange.getResponseHeaders().add("Connection", "close");
+      respond(json);
+    }
+
     private void close() {
       exchange.close();
     }
+
+    private boolean isRenewal() {
+      return body.startsWith("/hold");
+    }
+
+    private boolean acknowledges(long number) {
+      return body.contains("\"ack_cursor\":" + number + ",")
+          || body.contains("\"ack_cursor\":" + number + "}");
+    }
+
+    private boolean grantsLease() {
+      return body.contains("\"deadline_ms\"");
+    }
+
+    /** Returns the client's port, which tells connections apart. */
+    private int port() {
+      return exchange.getRemoteAddress().getPort();
+    }
   }
 
   private final class TestContext implements LeadershipContext {
@@ -194,6 +233,63 @@
     assertThat(acknowledgements, empty());
   }
 
+  private static final String ENDED =
+      status(FORMER, "[5,\"00000000000000aa.0.0.0\",1,\"done\",\"\"]");
+
+  /**
+   * Answers renewals with the same status until one acknowledges its end; returns whether that one
+   * arrived on the connection of the last status before it.
+   */
+  private boolean isAcknowledgedOnConnectionOfStatus(int firstPort) throws Exception {
+    int statusPort = firstPort;
+    while (true) {
+      Call call = nextCall();
+      if (!call.isRenewal()) {
+        continue;
+      }
+      if (call.acknowledges(LAST_FINISHED)) {
+        return call.port() == statusPort;
+      }
+      statusPort = call.port();
+      call.respond(ENDED);
+    }
+  }
+
+  /**
+   * Guards against TWICE: the worker ends after it has listed an end, and the acknowledgement opens
+   * a connection to its next incarnation, which forgets its own end of the same number.
+   */
+  @Test
+  void acknowledgementOpensNoConnection() throws Exception {
+    WorkerSession session = startSession(FORMER);
+    Call call = nextCall();
+    call.respondAndClose(ENDED);
+    loop.execute(() -> session.acknowledge(LAST_FINISHED));
+    assertThat(isAcknowledgedOnConnectionOfStatus(call.port()), is(true));
+  }
+
+  /**
+   * Guards against TWICE: an acknowledgement is sent on a connection that another command has
+   * opened, possibly to the next incarnation.
+   */
+  @Test
+  void acknowledgementUsesNoConnectionOfOtherCommands() throws Exception {
+    WorkerSession session = startSession(FORMER);
+    nextCall().respond(status(FORMER, ""));
+    final Call longPoll = nextCall();
+    SchedulerCommand.StopTask stop = new SchedulerCommand.StopTask(FORMER, TASK, 1);
+    loop.execute(() -> session.stopTask(stop));
+    nextCall().respond("{\"clock_ms\":1000}");
+    longPoll.respond(ENDED);
+    Thread.sleep(RELEASE_MILLISECONDS);
+    loop.execute(
+        () -> {
+          session.stopTask(stop);
+          session.acknowledge(LAST_FINISHED);
+        });
+    assertThat(isAcknowledgedOnConnectionOfStatus(longPoll.port()), is(true));
+  }
+
   /**
    * Guards against TWICE: a leader that was paused while its record was stored sends the start
    * after its successor has found the run's lease expired.
@@ -223,4 +319,31 @@
     }
     assertThat(starts, empty());
   }
+
+  /**
+   * Guards against TWICE: leases are granted again after an outage of the store, by a reading of
+   * the worker's clock from before it. A slow clock has fallen behind so far that the lease
+   * outlasts the time that the leader counts.
+   */
+  @Test
+  void leaseIsNotGrantedByAnOldReadingOfTheWorkersClock() throws Exception {
+    final WorkerSession session = startSession(FORMER);
+    nextCall().respond(status(FORMER, ""));
+    final Call longPoll = nextCall();
+    assertThat(longPoll.grantsLease(), is(true));
+    canRenewLeases = false;
+    longPoll.respond(status(FORMER, ""));
+    Thread.sleep(RELEASE_MILLISECONDS);
+    loop.submit(
+            () -> {
+              clockAdvance.set(OUTAGE_MILLISECONDS);
+              canRenewLeases = true;
+              session.startTask(new SchedulerCommand.StartTask(FORMER, TASK, 1, "", ""));
+            })
+        .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    Call afterOutage = nextCall();
+    assertThat(afterOutage.body(), afterOutage.grantsLease(), is(false));
+    afterOutage.respond(status(FORMER, ""));
+    assertThat(nextCall().grantsLease(), is(true));
+  }
 }
