Send starts only shortly after an append

Callers of tasks on workers that do not answer a new leader waited longer than before: a leader may send starts for 5,500 ms after its last append, and the successor waits for that and for the delivery.

Change: starts are sent up to 1,500 ms after the sending of the last successful append; later, another append comes first, as it did after 5,500 ms. Leases are renewed for as long as before. A successor waits 3,500 ms from the last record instead of 7,500 ms. 1,500 ms are more than an append takes whose response is lost once.

--- a/node/src/main/java/org/flamingochute/node/leadership/LeadershipContext.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/LeadershipContext.java
@@ -15,6 +15,12 @@
    */
   boolean canRenewLeases();
 
+  /**
+   * Returns whether runs may be started: the term has not ended, and the last successful append is
+   * so recent that a successor still waits for starts of this leader.
+   */
+  boolean canStartRuns();
+
   /**
    * Returns whether machines may be moved or maintained: the term has not ended, and the last
    * successful append is so recent that no successor sends such commands yet.
--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
@@ -113,7 +113,7 @@
             term.getEpoch(),
             claimedAt,
             new ScheduleWriter.Confirmation(
-                settings.renewalWithoutStoreMilliseconds(), this::nextTermRecord),
+                settings.startValidityMilliseconds(), this::nextTermRecord),
             () -> onFenced("store"));
   }
 
@@ -151,6 +151,13 @@
         && writer.millisecondsSinceConfirmation() < settings.renewalWithoutStoreMilliseconds();
   }
 
+  @Override
+  public boolean canStartRuns() {
+    return !stopped
+        && !releaseSent
+        && writer.millisecondsSinceConfirmation() < settings.startValidityMilliseconds();
+  }
+
   @Override
   public boolean canCommandMachines() {
     return !stopped
--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
@@ -204,8 +204,8 @@
       leadership.onChanged();
       return;
     }
-    if (!leadership.canRenewLeases()) {
-      // The start would extend the lease, which a successor may count as expired.
+    if (!leadership.canStartRuns()) {
+      // A successor may have given the run up.
       scheduler.onStartAnswered(start, StartOutcome.EXPIRED, now, clock.wallClockMilliseconds());
       leadership.onChanged();
       return;
--- a/node/src/test/java/org/flamingochute/node/leadership/OutdatedTermTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/OutdatedTermTest.java
@@ -84,6 +84,11 @@
       return !outdated;
     }
 
+    @Override
+    public boolean canStartRuns() {
+      return !outdated;
+    }
+
     @Override
     public boolean canCommandMachines() {
       return !outdated;
--- a/node/src/test/java/org/flamingochute/node/leadership/WorkerSessionTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/WorkerSessionTest.java
@@ -132,6 +132,11 @@
       return canRenewLeases;
     }
 
+    @Override
+    public boolean canStartRuns() {
+      return canRenewLeases;
+    }
+
     @Override
     public boolean canCommandMachines() {
       return canRenewLeases;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerSettings.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerSettings.java
@@ -100,13 +100,21 @@
     return expiryMilliseconds(maximumLeaseMilliseconds);
   }
 
+  /**
+   * Returns for how long after a successful append was sent a leader may send starts. It is shorter
+   * than the time for which it renews leases, since a successor waits for starts but not for runs.
+   */
+  public long startValidityMilliseconds() {
+    return START_VALIDITY_MILLISECONDS;
+  }
+
   /**
    * Returns the time after the last record of a leader from which none of its starts is executed
-   * any more: it sends starts for as long as it renews leases without the store, and a start
-   * without a response may be executed later.
+   * any more: its last append is as old as that record or older, and a start without a response may
+   * be executed later.
    */
   public long inheritedStartMilliseconds() {
-    return renewalWithoutStoreMilliseconds + COMMAND_DELIVERY_MILLISECONDS;
+    return START_VALIDITY_MILLISECONDS + COMMAND_DELIVERY_MILLISECONDS;
   }
 
   /**
@@ -130,6 +138,9 @@
   /** Time within which a command to a worker arrives and is executed, or never will be. */
   private static final long COMMAND_DELIVERY_MILLISECONDS = 2_000;
 
+  /** Longer than an append takes whose response is lost once. */
+  private static final long START_VALIDITY_MILLISECONDS = 1_500;
+
   /** Builds settings. */
   public static final class Builder {
     private long leaseMilliseconds = 3_500;
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedLeader.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedLeader.java
@@ -146,7 +146,7 @@
     if (!scheduler.beginStart(start)) {
       return;
     }
-    if (!writer.canRenewLeases(now)) {
+    if (!writer.canStartRuns(now)) {
       scheduler.onStartAnswered(start, StartOutcome.EXPIRED, now, now);
       return;
     }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWriter.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWriter.java
@@ -9,6 +9,9 @@
   /** Longest time without the store for which leases are renewed. */
   private static final long RENEWAL_WITHOUT_STORE_MILLISECONDS = 5_500;
 
+  /** Longest time after the sending of a successful append for which starts are sent. */
+  private static final long START_VALIDITY_MILLISECONDS = 1_500;
+
   private final SimulatedLeader leader;
   private final SimulatedStore store;
   private Optional<SchedulerBatch> waiting = Optional.empty();
@@ -35,6 +38,10 @@
     return now - lastSuccessAt < RENEWAL_WITHOUT_STORE_MILLISECONDS;
   }
 
+  boolean canStartRuns(long now) {
+    return now - lastSuccessAt < START_VALIDITY_MILLISECONDS;
+  }
+
   /** Records the next batch, or the one that waits, and executes its commands. */
   void record(long now) {
     if (waiting.isEmpty()) {
@@ -51,7 +58,7 @@
       return;
     }
     lastSuccessAt = sentAt;
-    if (!canRenewLeases(now)) {
+    if (!canStartRuns(now)) {
       // A successor may have taken over meanwhile, so another append comes before the commands.
       executed = false;
       sentAt = now;
