Withdraw the stop of an unanswered start whose run is listed

Callers: a task of a step with a maximum of unavailable tasks, which has just come to work, is ended while others of its step are away (AVAIL).

Cause: a start without a response is followed by a stop, which was repeated every 400 ms until it was confirmed, also while the worker was silent, and without regard to the other tasks of the step. A start that was carried out after the first stops was ended by the next one.

Change: the stop of an unanswered start is withdrawn if the worker lists the run before the stop is confirmed, and that of a stalled long-running run if it has become available. Stops of unanswered starts, and repetitions of any stop, are sent only if the step tolerates one more unavailable task, or within 100 ms of a status that shows that the run is not available yet, then every 40 ms. Draining workers and ended jobs are exempt, as before. A confirmed stop still precedes the next start.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
@@ -21,6 +21,15 @@
   /** Time after which a stop command that was not confirmed is resent. */
   private static final long STOP_RETRY_DELAY_MILLISECONDS = 400;
 
+  /** Age up to which a status still shows that a run is not available yet. */
+  private static final long RECENT_STATUS_MILLISECONDS = 100;
+
+  /**
+   * Time after which a stop command is resent that may be sent directly after a status only; it
+   * allows several of them while the status is recent.
+   */
+  private static final long STOP_RETRY_DELAY_AFTER_STATUS_MILLISECONDS = 40;
+
   /** Delay before a task that was refused for lack of capacity is placed again. */
   private static final long NO_ROOM_DELAY_MILLISECONDS = 50;
 
@@ -150,23 +159,43 @@
         pace.task(), pace.percent(), carriedOut);
   }
 
-  /** Stops runs whose start outcome stays unknown, and resends unconfirmed stop commands. */
+  /**
+   * Stops runs whose start outcome stays unknown, and resends unconfirmed stop commands. Neither
+   * makes more tasks of a step unavailable than its maximum.
+   */
   void retryUnanswered(long now) {
     for (Worker worker : workers.all()) {
       for (Task task : List.copyOf(worker.tasks.values())) {
         boolean startTimedOut =
             task.runState == Task.RunState.UNCERTAIN
                 && now - task.stopRequestedAt >= UNCERTAIN_START_TIMEOUT_MILLISECONDS;
-        boolean stopTimedOut =
-            task.runState == Task.RunState.STOPPING
-                && task.confirmedAt == Long.MAX_VALUE
-                && now - task.stopRequestedAt >= STOP_RETRY_DELAY_MILLISECONDS;
-        if (startTimedOut) {
-          lifecycle.stopRun(task, now);
-        } else if (stopTimedOut) {
+        boolean stopUnconfirmed =
+            task.runState == Task.RunState.STOPPING && task.confirmedAt == Long.MAX_VALUE;
+        if (startTimedOut && maySendStop(task, worker, now, 0)) {
+          lifecycle.stopUncertainRun(task, now);
+        } else if (stopUnconfirmed
+            && maySendStop(task, worker, now, STOP_RETRY_DELAY_MILLISECONDS)) {
           lifecycle.resendStop(task, now);
         }
       }
     }
   }
+
+  /**
+   * Returns whether a stop, if it is executed at once, makes no more tasks of the step unavailable
+   * than its maximum, and the last stop is long enough ago: the step tolerates one more, or the run
+   * is not available yet, which only a status shows that has just arrived. The maximum does not
+   * apply to a worker that is draining, nor after the job has ended.
+   *
+   * @param delay least time since the last stop if the step tolerates one more unavailable task
+   */
+  private static boolean maySendStop(Task task, Worker worker, long now, long delay) {
+    long sinceLastStop = now - task.stopRequestedAt;
+    if (worker.report.draining() || !task.job.isOpen() || WorkerEvacuator.canStop(task)) {
+      return sinceLastStop >= delay;
+    }
+    return task.percent < Task.FULL_PERCENT
+        && now - worker.statusReceivedAt <= RECENT_STATUS_MILLISECONDS
+        && sinceLastStop >= STOP_RETRY_DELAY_AFTER_STATUS_MILLISECONDS;
+  }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -26,6 +26,16 @@
     STOPPING
   }
 
+  /** Why a run is being stopped. */
+  enum StopReason {
+    /** The run is not wanted at all, or not on its worker. */
+    NOT_WANTED,
+    /** The start command was not answered, so the run may not exist. */
+    START_UNANSWERED,
+    /** The run makes no progress. */
+    NO_PROGRESS
+  }
+
   final TaskId id;
   final Job job;
   final Occurrence occurrence;
@@ -65,6 +75,9 @@
    */
   long startExecutableUntil = Long.MIN_VALUE;
 
+  /** Reason for which the current run is being stopped. */
+  StopReason stopReason = StopReason.NOT_WANTED;
+
   /** Time of the last stop command; while the start is uncertain, time at which it became so. */
   long stopRequestedAt;
 
@@ -124,6 +137,15 @@
     return worker.map(assigned -> assigned.unreachable).orElse(true);
   }
 
+  /** Returns whether a run that its worker lists is being stopped for a reason that is void. */
+  boolean isStopVoid() {
+    return switch (stopReason) {
+      case NOT_WANTED -> false;
+      case START_UNANSWERED -> true;
+      case NO_PROGRESS -> step.getLongRunning() && percent >= FULL_PERCENT;
+    };
+  }
+
   /** Returns whether the worker has confirmed that it runs the task. */
   boolean isRunning() {
     return isAssigned() && runState == RunState.RUNNING;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -141,11 +141,27 @@
     closeIfEnded(task.job);
   }
 
+  /** Stops a run whose start was not answered, so that a late start is refused. */
+  void stopUncertainRun(Task task, long now) {
+    stopRun(task, now);
+    task.stopReason = Task.StopReason.START_UNANSWERED;
+  }
+
+  /** Keeps a run whose stop was not confirmed and has become void. */
+  void withdrawStop(Task task, long now) {
+    task.runState = Task.RunState.RUNNING;
+    task.confirmedAt = now;
+    logger.atInfo().log(
+        "event=stop_withdrawn task=%s attempt=%d worker=%s",
+        task.id, task.attempt, task.workerKey.map(Object::toString).orElse("-"));
+  }
+
   /** Stops the run of an assigned task. */
   void stopRun(Task task, long now) {
     if (!task.isAssigned() || task.worker.isEmpty()) {
       return;
     }
+    task.stopReason = Task.StopReason.NOT_WANTED;
     final boolean startNotSent = task.runState == Task.RunState.RECORDING;
     task.runState = Task.RunState.STOPPING;
     task.confirmedAt = Long.MAX_VALUE;
@@ -169,6 +185,7 @@
               task.id, task.attempt, worker.key, task.percent, now - task.percentChangedAt);
         });
     stopRun(task, now);
+    task.stopReason = Task.StopReason.NO_PROGRESS;
   }
 
   /** Resends a stop command that was not answered. */
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
@@ -11,6 +11,9 @@
 
 /** The scheduler's state of one incarnation of a worker. */
 final class Worker {
+  /** Before all times, and far enough from them that differences do not overflow. */
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   final WorkerKey key;
 
   /** Newest report; retained after the store no longer lists the worker. */
@@ -37,6 +40,9 @@
   /** Time at which all its tasks have certainly ended, unless the lease is renewed. */
   long leaseExpiresAt;
 
+  /** Time at which the newest status arrived. */
+  long statusReceivedAt = NEVER;
+
   /** Number of the last finished run that was applied. */
   long lastAppliedFinishedNumber;
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
@@ -62,6 +62,7 @@
     }
     worker.leaseConfirmed = true;
     worker.unreachable = false;
+    worker.statusReceivedAt = now;
     applyFinishedRuns(worker, status.finished(), now, wallClockMilliseconds);
     boolean allFinishedRunsListed = status.finished().size() < MAXIMUM_LISTED_FINISHED_RUNS;
     applyRunningTasks(worker, status.running(), sentAt, allFinishedRunsListed, now);
@@ -112,6 +113,11 @@
         task.confirmedAt = Long.MAX_VALUE;
       }
       updateProgress(task, runningTask, now);
+      boolean stopUnconfirmed =
+          task.runState == Task.RunState.STOPPING && task.confirmedAt == Long.MAX_VALUE;
+      if (stopUnconfirmed && task.isStopVoid()) {
+        lifecycle.withdrawStop(task, now);
+      }
     }
     if (!allFinishedRunsListed) {
       return;
