Create the status processors of two tests in one place

StopRepetitionTest and UnansweredStartTest share StatusProcessors now; neither has another check than before.

--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/StopRepetitionTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/StopRepetitionTest.java
@@ -10,7 +10,6 @@
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.placement.ResourceVector;
 import org.flamingochute.decision.placement.WorkerHealth;
-import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.worker.RunningTask;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
@@ -35,15 +34,7 @@
   private final CommandTracker commandTracker =
       new CommandTracker(workers, workerTracker, lifecycle, settings);
   private final WorkerStatusProcessor statusProcessor =
-      new WorkerStatusProcessor(
-          workers,
-          workerTracker,
-          jobs,
-          lifecycle,
-          new StartRepeater(
-              new TeamUsage(), lifecycle, () -> FleetDeclaration.builder().version(1).build()),
-          outbox,
-          0);
+      StatusProcessors.create(workers, workerTracker, jobs, lifecycle, outbox);
 
   private Task startTask() {
     Job job =
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/UnansweredStartTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/UnansweredStartTest.java
@@ -35,13 +35,14 @@
   private final SchedulerSettings settings = SchedulerSettings.builder().build();
   private final WorkerRegistry workers = new WorkerRegistry();
   private final Outbox outbox = new Outbox();
+  private final JobRegistry jobs = new JobRegistry();
   private final TaskLifecycle lifecycle =
-      new TaskLifecycle(new JobRegistry(), new TeamUsage(), new WorkerHealth(), outbox, settings);
+      new TaskLifecycle(jobs, new TeamUsage(), new WorkerHealth(), outbox, settings);
   private final WorkerTracker workerTracker = new WorkerTracker(workers, lifecycle, settings, 0);
   private final CommandTracker commandTracker =
       new CommandTracker(workers, workerTracker, lifecycle, settings);
   private final WorkerStatusProcessor statusProcessor =
-      new WorkerStatusProcessor(workers, workerTracker, lifecycle, outbox);
+      StatusProcessors.create(workers, workerTracker, jobs, lifecycle, outbox);
 
   /** Sends the start of the first of two tasks, which gets no response by the given time. */
   private Task startWithoutResponse(int maximumUnavailable, long now) {
