--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerSettings.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerSettings.java
@@ -138,8 +138,8 @@
   /** Time within which a command to a worker arrives and is executed, or never will be. */
   private static final long COMMAND_DELIVERY_MILLISECONDS = 2_000;
 
-  /** Longer than an append takes whose response is lost once. */
-  private static final long START_VALIDITY_MILLISECONDS = 1_500;
+  /** Longer than an append takes, which the store refuses if it would have to wait for 2 s. */
+  private static final long START_VALIDITY_MILLISECONDS = 2_500;
 
   /** Builds settings. */
   public static final class Builder {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -154,6 +154,16 @@
     attemptsWithUnknownEnd.add(attempt);
   }
 
+  /** Returns whether an attempt has ended in a way that is not known. */
+  boolean isEndUnknown(int endedAttempt) {
+    return attemptsWithUnknownEnd.contains(endedAttempt);
+  }
+
+  /** Returns whether the task may wait for its next run, since no start of it was sent yet. */
+  boolean isNextStartUnsent() {
+    return isWaiting() || isAssigned() && runState == RunState.RECORDING;
+  }
+
   /** Notes how an attempt ended; returns false if that was known before. */
   boolean learnEnd(int endedAttempt) {
     return attemptsWithUnknownEnd.remove(endedAttempt);
@@ -164,12 +174,16 @@
     return earlierStartExecutableUntil != Long.MIN_VALUE;
   }
 
-  /** Returns whether a start of the current run was sent and may be executed without an answer. */
-  boolean mayHaveUnansweredStart() {
+  /**
+   * Returns the time until which a later incarnation of the worker may execute a start of the
+   * current run: {@code Long.MAX_VALUE} while a start is not answered, and {@code Long.MIN_VALUE}
+   * if none was sent that is not answered.
+   */
+  long restartableUntil() {
     return switch (runState) {
-      case SENT, UNCERTAIN, STOPPING ->
-          isAssigned() && startExecutableUntil != earlierStartExecutableUntil;
-      case RECORDING, REPEATING, RUNNING -> false;
+      case SENT, UNCERTAIN, STOPPING -> startExecutableUntil;
+      case REPEATING, RUNNING -> earlierStartExecutableUntil;
+      case RECORDING -> Long.MIN_VALUE;
     };
   }
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -162,6 +162,8 @@
     }
     removeFromWorker(task);
     addToWorker(task, successor);
+    // The new incarnation has listed no run yet, so none counts as available.
+    task.percent = 0;
     outbox.markChanged(task.job);
     if (task.runState == Task.RunState.RUNNING || task.runState == Task.RunState.REPEATING) {
       // A confirmation says nothing of the new incarnation; its next status does.
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
@@ -97,10 +97,8 @@
 
   private void applyFinishedRun(
       Worker worker, FinishedTask end, long now, long wallClockMilliseconds) {
-    Optional<Task> found = findRun(worker, end.task(), end.attempt());
-    boolean isCurrent =
-        found.isPresent() && (found.get().isAssigned() || end.reason() == EndReason.DONE);
-    if (isCurrent) {
+    Optional<Task> found = findEndedRun(worker, end);
+    if (found.isPresent()) {
       worker.keepEndsUntil(found.get().earlierStartExecutableUntil);
       lifecycle.onRunEnded(found.get(), end.reason(), end.checkpoint(), now, wallClockMilliseconds);
       return;
@@ -116,6 +114,24 @@
                     task, end.attempt(), end.reason(), now, wallClockMilliseconds));
   }
 
+  /**
+   * Returns the task whose run has ended, unless another run of the task was started since. A
+   * success also counts for a task that was released without it and whose next start was not sent.
+   */
+  private Optional<Task> findEndedRun(Worker worker, FinishedTask end) {
+    Optional<Task> current = findRun(worker, end.task(), end.attempt());
+    if (current.isPresent() && current.get().isAssigned()) {
+      return current;
+    }
+    if (end.reason() != EndReason.DONE) {
+      return Optional.empty();
+    }
+    return current.or(
+        () ->
+            jobs.find(end.task())
+                .filter(task -> task.isNextStartUnsent() && task.isEndUnknown(end.attempt())));
+  }
+
   /**
    * Returns the task of a listed run, unless another run of the task has been assigned since. A
    * task that waits because its lease seemed to have expired, or its start to be lost, has not been
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
@@ -233,9 +233,11 @@
    * worker, which takes the longest lease for it and may not have responded since.
    */
   private boolean mayRunOnRestartedWorker(Task task, long now) {
-    return task.mayHaveUnansweredStart()
-        && (task.startExecutableUntil == Long.MAX_VALUE
-            || now <= task.startExecutableUntil + settings.longestLeaseExpiryMilliseconds());
+    long until = task.restartableUntil();
+    if (until == Long.MIN_VALUE || until == Long.MAX_VALUE) {
+      return until == Long.MAX_VALUE;
+    }
+    return now <= until + settings.longestLeaseExpiryMilliseconds();
   }
 
   /**
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/StopRepetitionTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/StopRepetitionTest.java
@@ -80,4 +80,21 @@
 
     assertThat(outbox.takeImmediateCommands(), is(List.of(stop)));
   }
+
+  /**
+   * Guards against LOST and AVAIL: a run counts as available on an incarnation of its worker that
+   * has not listed it, so that a stop of it is not repeated and others of its step are stopped.
+   */
+  @Test
+  void runIsNotAvailableOnIncarnationThatHasNotListedIt() {
+    Task task = startTask();
+    RunningTask running = new RunningTask(task.id, 1, "", Task.FULL_PERCENT, 0);
+    WorkerStatus status = new WorkerStatus(1, 1, List.of(running), List.of());
+    statusProcessor.onLeaseRenewed(WORKER, status, 40, 50, 50);
+    assertThat(task.isAvailable(), is(true));
+
+    workerTracker.onIncarnationObserved(workers.find(WORKER).orElseThrow(), 2, 60);
+
+    assertThat(task.isAvailable(), is(false));
+  }
 }
