--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -159,7 +159,7 @@
     return attemptsWithUnknownEnd.contains(endedAttempt);
   }
 
-  /** Returns whether the task may wait for its next run, since no start of it was sent yet. */
+  /** Returns whether the task waits, or its next start is recorded but not sent. */
   boolean isNextStartUnsent() {
     return isWaiting() || isAssigned() && runState == RunState.RECORDING;
   }
@@ -179,7 +179,7 @@
    * current run: {@code Long.MAX_VALUE} while a start is not answered, and {@code Long.MIN_VALUE}
    * if none was sent that is not answered.
    */
-  long restartableUntil() {
+  long laterIncarnationMayStartUntil() {
     return switch (runState) {
       case SENT, UNCERTAIN, STOPPING -> startExecutableUntil;
       case REPEATING, RUNNING -> earlierStartExecutableUntil;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
@@ -233,7 +233,7 @@
    * worker, which takes the longest lease for it and may not have responded since.
    */
   private boolean mayRunOnRestartedWorker(Task task, long now) {
-    long until = task.restartableUntil();
+    long until = task.laterIncarnationMayStartUntil();
     if (until == Long.MIN_VALUE || until == Long.MAX_VALUE) {
       return until == Long.MAX_VALUE;
     }
