Send deadlines only where the incarnation has responded (TWICE)

Callers saw two runs of one task at once: a worker that started again under its id held runs for the longest lease that it accepts, and a leader that had not seen the restart counted 3.9 s.

Cause: a renewal or a start names the worker but not its incarnation, and was written to any connection, also to one that was opened while the worker was down. The next incarnation executed it and took a deadline on the clock of the former one, which is far ahead of its own.

Change: WorkerSession renews, acknowledges and starts only on connections on which its incarnation has returned its status, and writes each call once. The first call on a connection reads the status without a deadline.

Tests: three of the four new cases of WorkerSessionTest failed before (leaseIsNotGrantedOnNewConnection, startIsSentOnlyWhereTheIncarnationHasResponded, startIsNotSentToNextIncarnation); all nine hold now.

--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
@@ -2,9 +2,10 @@
 
 import io.activej.eventloop.Eventloop;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.flamingochute.node.NodeClock;
 import org.flamingochute.platform.http.ConnectionId;
-import org.flamingochute.platform.wire.Acknowledgement;
+import org.flamingochute.platform.wire.LeaseRenewal;
 import org.flamingochute.platform.wire.LeaseRenewalOutcome;
 import org.flamingochute.platform.wire.TaskStopOutcome;
 import org.flamingochute.platform.wire.WorkerClient;
@@ -17,6 +18,11 @@
  * A session with one incarnation of a worker: renews its lease with long polls that return when a
  * run ends, and sends commands to it.
  *
+ * <p>A call that means something else to another incarnation, since it carries a deadline or the
+ * number of a finished run, is sent only on a connection on which this one has responded. Before
+ * that, and after a call without a response, the session reads the status by a call that any
+ * incarnation may answer.
+ *
  * <p>After a status with newly finished runs, the next renewal waits until these are recorded and
  * can be acknowledged; otherwise the worker would list them again. Runs on one event loop.
  */
@@ -26,9 +32,13 @@
 
   private static final long RENEWAL_TIMEOUT_MARGIN_MILLISECONDS = 700;
   private static final long COMMAND_TIMEOUT_MILLISECONDS = 900;
+  private static final long OPENING_TIMEOUT_MILLISECONDS = 500;
   private static final long MINIMUM_RETRY_DELAY_MILLISECONDS = 50;
   private static final long MAXIMUM_RETRY_DELAY_MILLISECONDS = 400;
 
+  /** Most connections on which one start is tried; none but the last receives it. */
+  private static final int MAXIMUM_START_CONNECTIONS = 3;
+
   /**
    * Longest wait for finished runs to be recorded before the lease is renewed without acknowledging
    * them.
@@ -43,7 +53,11 @@
   private final WorkerClockEstimate workerClock = new WorkerClockEstimate();
   private final FinishedRunCursor finishedRuns = new FinishedRunCursor();
   private WorkerReport worker;
+  private final IncarnationConnections startConnections;
+
+  /** Connection of the newest status, unless a renewal failed since. */
   private Optional<ConnectionId> statusConnection = Optional.empty();
+
   private long retryDelayMilliseconds = MINIMUM_RETRY_DELAY_MILLISECONDS;
   private boolean stopped;
   private boolean waitingForRecording;
@@ -61,6 +75,9 @@
     this.leadership = leadership;
     this.scheduler = scheduler;
     this.worker = worker;
+    this.startConnections =
+        new IncarnationConnections(
+            this::openStartConnection, (delay, action) -> loop.delay(delay, action));
   }
 
   void start() {
@@ -85,9 +102,24 @@
       loop.delay(MAXIMUM_RETRY_DELAY_MILLISECONDS, this::renew);
       return;
     }
+    if (statusConnection.isPresent()) {
+      renewOn(statusConnection.get());
+    } else {
+      readStatus();
+    }
+  }
+
+  private void readStatus() {
+    long sentAt = clock.steadyMilliseconds();
+    client
+        .readStatus(worker, leadership.epoch(), RENEWAL_TIMEOUT_MARGIN_MILLISECONDS)
+        .thenAccept(result -> onRenewalResult(result, sentAt, FinishedRunCursor.NONE));
+  }
+
+  private void renewOn(ConnectionId connection) {
     long sentAt = clock.steadyMilliseconds();
     // Extending the lease of a worker that does not respond would delay the restart of its tasks on
-    // other workers, so a renewal without a deadline only requests such a worker's status.
+    // other workers.
     boolean extending = workerClock.isRecent(sentAt) && !scheduler.isUnreachable(worker.key());
     long deadline = extending ? leaseDeadline(sentAt) : 0;
     long acknowledgement = finishedRuns.nextAcknowledgement();
@@ -102,20 +134,13 @@
     client
         .renew(
             worker,
-            deadline,
-            leadership.epoch(),
-            acknowledgementOf(acknowledgement),
+            connection,
+            new LeaseRenewal(deadline, leadership.epoch(), acknowledgement),
             longPollMilliseconds,
             longPollMilliseconds + RENEWAL_TIMEOUT_MARGIN_MILLISECONDS)
         .thenAccept(result -> onRenewalResult(result, sentAt, acknowledgement));
   }
 
-  private Optional<Acknowledgement> acknowledgementOf(long number) {
-    return number == FinishedRunCursor.NONE
-        ? Optional.empty()
-        : statusConnection.map(connection -> new Acknowledgement(number, connection));
-  }
-
   private long leaseDeadline(long now) {
     return workerClock.estimateAt(now) + leadership.leaseMilliseconds();
   }
@@ -139,8 +164,8 @@
         continueAfter(renewed);
       }
       case LeaseRenewalOutcome.NotSent notSent -> {
-        finishedRuns.onRenewalFailed();
-        loop.delay(MINIMUM_RETRY_DELAY_MILLISECONDS, this::renew);
+        forgetStatus();
+        renew();
       }
       case LeaseRenewalOutcome.Fenced fenced -> leadership.onFenced("worker " + worker.key());
       case LeaseRenewalOutcome.Gone gone -> {
@@ -182,8 +207,14 @@
         });
   }
 
-  private void retry() {
+  /** Makes the next renewal read the status first, as the worker may have started again. */
+  private void forgetStatus() {
+    statusConnection = Optional.empty();
     finishedRuns.onRenewalFailed();
+  }
+
+  private void retry() {
+    forgetStatus();
     long delay = retryDelayMilliseconds;
     retryDelayMilliseconds = Math.min(MAXIMUM_RETRY_DELAY_MILLISECONDS, 2 * retryDelayMilliseconds);
     loop.delay(delay, this::renew);
@@ -198,28 +229,106 @@
   }
 
   void startTask(SchedulerCommand.StartTask start) {
-    long now = clock.steadyMilliseconds();
-    if (!workerClock.isRecent(now)) {
-      scheduler.onStartAnswered(start, StartOutcome.NOT_RUN, now, clock.wallClockMilliseconds());
-      leadership.onChanged();
+    startTask(start, MAXIMUM_START_CONNECTIONS);
+  }
+
+  private void startTask(SchedulerCommand.StartTask start, int connectionsLeft) {
+    Optional<StartOutcome> refusal = refusalOfStart();
+    if (refusal.isPresent()) {
+      onStartAnswered(start, refusal.get());
       return;
     }
-    if (!leadership.canStartRuns()) {
-      // A successor may have given the run up.
-      scheduler.onStartAnswered(start, StartOutcome.EXPIRED, now, clock.wallClockMilliseconds());
-      leadership.onChanged();
+    startConnections.acquire(
+        connection -> {
+          if (connection.isEmpty()) {
+            onStartAnswered(start, StartOutcome.NOT_RUN);
+          } else {
+            startOn(connection.get(), start, connectionsLeft - 1);
+          }
+        });
+  }
+
+  /** Returns why no start may be sent now, if so. */
+  private Optional<StartOutcome> refusalOfStart() {
+    if (stopped) {
+      return Optional.of(StartOutcome.EXPIRED);
+    }
+    if (!workerClock.isRecent(clock.steadyMilliseconds())) {
+      return Optional.of(StartOutcome.NOT_RUN);
+    }
+    // Without permission for starts, a successor may have given the run up.
+    return leadership.canStartRuns() ? Optional.empty() : Optional.of(StartOutcome.EXPIRED);
+  }
+
+  private void startOn(
+      ConnectionId connection, SchedulerCommand.StartTask start, int connectionsLeft) {
+    Optional<StartOutcome> refusal = refusalOfStart();
+    if (refusal.isPresent()) {
+      startConnections.release(connection);
+      onStartAnswered(start, refusal.get());
       return;
     }
+    long now = clock.steadyMilliseconds();
     scheduler.onLeaseSent(worker.key(), now);
     client
         .start(
             worker,
+            connection,
             start,
             leaseDeadline(now),
             workerClock.earliestAt(now),
             leadership.epoch(),
             COMMAND_TIMEOUT_MILLISECONDS)
-        .thenAccept(outcome -> onStartAnswered(start, outcome));
+        .thenAccept(
+            outcome -> {
+              if (outcome.isPresent()) {
+                onStartEnded(connection, start, outcome.get());
+              } else {
+                onStartNotSent(start, connectionsLeft);
+              }
+            });
+  }
+
+  private void onStartEnded(
+      ConnectionId connection, SchedulerCommand.StartTask start, StartOutcome outcome) {
+    if (outcome == StartOutcome.UNKNOWN) {
+      startConnections.discard();
+    } else {
+      startConnections.release(connection);
+    }
+    onStartAnswered(start, outcome);
+  }
+
+  private void onStartNotSent(SchedulerCommand.StartTask start, int connectionsLeft) {
+    startConnections.discard();
+    if (connectionsLeft > 0) {
+      startTask(start, connectionsLeft);
+    } else {
+      onStartAnswered(start, StartOutcome.NOT_RUN);
+    }
+  }
+
+  /** Reads the status; the result is the connection on which this incarnation has responded. */
+  private CompletableFuture<Optional<ConnectionId>> openStartConnection() {
+    return client
+        .readStatus(worker, leadership.epoch(), OPENING_TIMEOUT_MILLISECONDS)
+        .thenApply(this::connectionOf);
+  }
+
+  private Optional<ConnectionId> connectionOf(LeaseRenewalOutcome result) {
+    return switch (result) {
+      case LeaseRenewalOutcome.Renewed renewed when renewed.status().isOf(worker.key()) ->
+          Optional.of(renewed.connection());
+      case LeaseRenewalOutcome.Fenced fenced -> {
+        leadership.onFenced("worker " + worker.key());
+        yield Optional.empty();
+      }
+      // The next renewal finds out about another incarnation or another worker.
+      case LeaseRenewalOutcome.Renewed renewed -> Optional.empty();
+      case LeaseRenewalOutcome.Gone gone -> Optional.empty();
+      case LeaseRenewalOutcome.Failed failed -> Optional.empty();
+      case LeaseRenewalOutcome.NotSent notSent -> Optional.empty();
+    };
   }
 
   private void onStartAnswered(SchedulerCommand.StartTask start, StartOutcome outcome) {
--- a/node/src/test/java/org/flamingochute/node/leadership/WorkerSessionTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/WorkerSessionTest.java
@@ -11,7 +11,9 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -351,4 +353,101 @@
     afterOutage.respond(status(FORMER, ""));
     assertThat(nextCall().grantsLease(), is(true));
   }
+
+  private boolean isStart(Call call) {
+    return call.body().startsWith("/run-start");
+  }
+
+  private void requestStart(WorkerSession session, int attempt) {
+    loop.execute(
+        () -> session.startTask(new SchedulerCommand.StartTask(FORMER, TASK, attempt, "", "")));
+  }
+
+  /**
+   * Guards against TWICE: the worker starts again under its id, and a renewal opens a connection to
+   * the next incarnation, which takes the longest lease for a deadline on the former one's clock.
+   */
+  @Test
+  void leaseIsNotGrantedOnNewConnection() throws Exception {
+    startSession(FORMER);
+    Set<Integer> portsWithStatus = new HashSet<>();
+    List<String> grants = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      Call call = nextCall();
+      if (call.grantsLease() && !portsWithStatus.contains(call.port())) {
+        grants.add(call.body());
+      }
+      portsWithStatus.add(call.port());
+      if (i % 2 == 0) {
+        call.respond(status(FORMER, ""));
+      } else {
+        call.respondAndClose(status(FORMER, ""));
+      }
+    }
+    assertThat(grants, empty());
+  }
+
+  /**
+   * Guards against TWICE: a renewal that the worker does not answer is written once more, to a
+   * connection to the next incarnation.
+   */
+  @Test
+  void renewalWithoutResponseIsNotRepeatedOnNewConnection() throws Exception {
+    startSession(FORMER);
+    nextCall().respond(status(FORMER, ""));
+    Call renewal = nextCall();
+    assertThat(renewal.grantsLease(), is(true));
+    renewal.close();
+    Call next = nextCall();
+    assertThat(next.body(), next.grantsLease(), is(false));
+  }
+
+  /**
+   * Guards against TWICE: the worker starts again under its id, and a start opens a connection to
+   * the next incarnation, which executes it under the longest lease.
+   */
+  @Test
+  void startIsSentOnlyWhereTheIncarnationHasResponded() throws Exception {
+    WorkerSession session = startSession(FORMER);
+    nextCall().respond(status(FORMER, ""));
+    final Call longPoll = nextCall();
+    requestStart(session, 1);
+    requestStart(session, 2);
+    Set<Integer> portsWithStatus = new HashSet<>();
+    int starts = 0;
+    while (starts < 2) {
+      Call call = nextCall();
+      if (!isStart(call)) {
+        portsWithStatus.add(call.port());
+        call.respond(status(FORMER, ""));
+        continue;
+      }
+      assertThat(call.body(), portsWithStatus.contains(call.port()), is(true));
+      starts++;
+      call.respond("{\"clock_ms\":1000}");
+    }
+    longPoll.respond(status(FORMER, ""));
+  }
+
+  /** Guards against TWICE, as above, by a connection that leads to the next incarnation. */
+  @Test
+  void startIsNotSentToNextIncarnation() throws Exception {
+    WorkerSession session = startSession(FORMER);
+    nextCall().respond(status(FORMER, ""));
+    final Call longPoll = nextCall();
+    requestStart(session, 1);
+    List<String> starts = new ArrayList<>();
+    for (int i = 0; i < 2; i++) {
+      Call call = nextCall();
+      if (isStart(call)) {
+        starts.add(call.body());
+      }
+      call.respond(status(SUCCESSOR, ""));
+      if (i == 0) {
+        longPoll.respond(status(SUCCESSOR, ""));
+        startSession(SUCCESSOR);
+      }
+    }
+    assertThat(starts, empty());
+  }
 }
