Simulation: a call with a deadline or an acknowledgement reaches one incarnation only

As in the product from now on: such a call is written once, to a connection on which the incarnation that is meant has responded, and connections end with their incarnation. Any other incarnation does not execute it, and its caller gets no response. Status reads without a deadline, stops and paces still reach whatever incarnation has the address. No check is changed.

--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedLeader.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedLeader.java
@@ -154,8 +154,8 @@
     scheduler.onLeaseSent(key, now);
     execution.beforeStart(key.id());
     long sentAt = now;
-    network.<StartOutcome>call(
-        key.id(),
+    network.<StartOutcome>callIncarnation(
+        key,
         reports.addressOf(key.id()),
         execution.fateOfStart(key.id(), network),
         worker -> execution.start(worker, start, this, sentAt),
@@ -178,7 +178,7 @@
   }
 
   private void stop(SchedulerCommand.StopTask stop) {
-    network.<Boolean>call(
+    network.<Boolean>callAnyIncarnation(
         stop.worker().id(),
         reports.addressOf(stop.worker().id()),
         worker -> worker.stop(stop, epoch),
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedNetwork.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedNetwork.java
@@ -9,12 +9,16 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.scheduling.worker.WorkerKey;
 
 /**
  * The calls of leaders to workers.
  *
- * <p>A call is sent to an address and names a worker's id, but not its incarnation. So it is
- * executed by whichever incarnation of that worker has the address when the call arrives.
+ * <p>A call is sent to an address and names a worker's id. A call with a deadline or an
+ * acknowledgement is written, once, to a connection on which an incarnation of the worker has
+ * responded; connections end with their incarnation, so no other one executes it, and its caller
+ * gets no response. Any other call is executed by whichever incarnation of that worker has the
+ * address when the call arrives.
  */
 final class SimulatedNetwork {
   private final Map<String, SimulatedWorker> workersByAddress = new HashMap<>();
@@ -52,23 +56,30 @@
     }
   }
 
-  /** Sends a call; a call that takes no time is executed and answered before this returns. */
-  <T> void call(
+  /**
+   * Sends a call to any incarnation of a worker; a call that takes no time is executed and answered
+   * before this returns.
+   */
+  <T> void callAnyIncarnation(
       InstanceId addressee,
       String address,
       Function<SimulatedWorker, T> execution,
       Consumer<CallResult<T>> handler) {
-    call(addressee, address, nextFate(), execution, handler);
+    send(new Call<>(addressee, Optional.empty(), address, nextFate(), execution, handler));
   }
 
-  /** Sends a call with a given fate. */
-  <T> void call(
-      InstanceId addressee,
+  /** Sends a call with a given fate to one incarnation of a worker. */
+  <T> void callIncarnation(
+      WorkerKey addressee,
       String address,
       CallFate fate,
       Function<SimulatedWorker, T> execution,
       Consumer<CallResult<T>> handler) {
-    Call<T> call = new Call<>(addressee, address, fate, execution, handler);
+    send(new Call<>(addressee.id(), Optional.of(addressee), address, fate, execution, handler));
+  }
+
+  private <T> void send(Call<T> call) {
+    CallFate fate = call.fate;
     if (!fate.losesRequest()) {
       schedule(fate.requestDelayMilliseconds(), () -> execute(call));
     }
@@ -82,6 +93,7 @@
 
   private static final class Call<T> {
     private final InstanceId addressee;
+    private final Optional<WorkerKey> incarnation;
     private final String address;
     private final CallFate fate;
     private final Function<SimulatedWorker, T> execution;
@@ -90,11 +102,13 @@
 
     private Call(
         InstanceId addressee,
+        Optional<WorkerKey> incarnation,
         String address,
         CallFate fate,
         Function<SimulatedWorker, T> execution,
         Consumer<CallResult<T>> handler) {
       this.addressee = addressee;
+      this.incarnation = incarnation;
       this.address = address;
       this.fate = fate;
       this.execution = execution;
@@ -125,6 +139,9 @@
     if (!worker.key().id().equals(call.addressee)) {
       return new CallResult.Gone<>();
     }
+    if (call.incarnation.isPresent() && !call.incarnation.get().equals(worker.key())) {
+      return new CallResult.Unknown<>();
+    }
     return new CallResult.Answered<>(call.execution.apply(worker));
   }
 
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedRenewals.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedRenewals.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
@@ -27,7 +29,6 @@
     private long lastAcknowledged;
     private boolean renewed;
     private boolean renewing;
-    private int connection = -1;
   }
 
   SimulatedRenewals(
@@ -78,17 +79,9 @@
     }
     boolean acknowledges = session.renewed && session.lastRecorded > session.lastAcknowledged;
     long acknowledgement = acknowledges ? session.lastRecorded : 0;
-    int connection = session.connection;
     session.renewing = true;
-    network.<Optional<WorkerStatus>>call(
-        key.id(),
-        report.address(),
+    Function<SimulatedWorker, WorkerStatus> renewal =
         worker -> {
-          if (acknowledges && connection != worker.incarnation) {
-            // The connection of the earlier renewal broke with the former incarnation.
-            return Optional.empty();
-          }
-          session.connection = worker.incarnation;
           if (worker.accepts(leader.epoch)) {
             execution.recordAcknowledged(worker, acknowledgement);
           }
@@ -96,19 +89,25 @@
               extending
                   ? worker.leaseDeadline(key, sentAt + leaseMilliseconds, execution.now())
                   : 0;
-          return Optional.of(worker.renew(leader.epoch, deadline, acknowledgement));
-        },
-        result -> leader.receive(() -> onResult(key, result, sentAt, acknowledgement)));
+          return worker.renew(leader.epoch, deadline, acknowledgement);
+        };
+    Consumer<CallResult<WorkerStatus>> handler =
+        result -> leader.receive(() -> onResult(key, result, sentAt, acknowledgement));
+    if (extending || acknowledges) {
+      network.callIncarnation(key, report.address(), network.nextFate(), renewal, handler);
+    } else {
+      network.callAnyIncarnation(key.id(), report.address(), renewal, handler);
+    }
   }
 
   private void onResult(
-      WorkerKey key, CallResult<Optional<WorkerStatus>> result, long sentAt, long acknowledgement) {
+      WorkerKey key, CallResult<WorkerStatus> result, long sentAt, long acknowledgement) {
     Session session = session(key);
     session.renewing = false;
-    boolean gone = result instanceof CallResult.Gone<Optional<WorkerStatus>>;
+    boolean gone = result instanceof CallResult.Gone<WorkerStatus>;
     Optional<WorkerStatus> response =
-        result instanceof CallResult.Answered<Optional<WorkerStatus>> answered
-            ? answered.response()
+        result instanceof CallResult.Answered<WorkerStatus> answered
+            ? Optional.of(answered.response())
             : Optional.empty();
     if (response.isEmpty()) {
       session.renewed = false;
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWorker.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWorker.java
@@ -155,14 +155,14 @@
     return runs.values();
   }
 
-  /** Restarts the worker, which loses all its state. */
+  /** Restarts the worker, which loses all its state. No two incarnations start at one time. */
   void restart(long now) {
     runs.clear();
     finished.clear();
     highestEndedAttempts.clear();
     highestFencingToken = 0;
     nextFinishedNumber = 1;
-    startedAt = now;
+    startedAt = Math.max(now, startedAt + 1);
     leaseExpiresAt = 0;
     incarnation++;
     down = false;
