Scheduler: no start or lease crosses a restart, so nothing waits for one

Calls with a deadline no longer reach another incarnation, so the long lease does not exist, and the waits for it go: - a response of a later incarnation ends the runs of the former one at once; the status that shows the restart is applied, not the next one. An entry of the store only moves the tasks, and the record goes on to name the incarnation that the start was prepared for; - restartedLeaseMilliseconds, mayRunOnRestartedWorker: a silent worker is waited for until the leases that were sent have expired, 3.9 s, or 9.4 s after a takeover; - StartRepeater, RunState.REPEATING, inheritedStartsExecutableUntil, keepEndsUntil: a former leader's start that a worker neither lists nor lists as ended never will be executed, since the worker has received the new token; the task is started anew at once, gangs as well; - startExecutableUntil, COMMAND_DELIVERY_MILLISECONDS: an unanswered start is over when a status after its confirmed stop does not list it. TaskProgress.start_repeated is neither written nor read any more; the field is left in the schema.

Kept as a defence: STARTED_BY_LATER_INCARNATION and a status of another incarnation in response to a call with a deadline still count as the longest lease, and a run that a later incarnation lists is kept (LaterIncarnationTest). Born 0, a worker that does not report its start time, proves nothing, and the usual rule of the missing run applies.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
@@ -36,17 +36,11 @@
   private final WorkerRegistry workers;
   private final WorkerTracker workerTracker;
   private final TaskLifecycle lifecycle;
-  private final SchedulerSettings settings;
 
-  CommandTracker(
-      WorkerRegistry workers,
-      WorkerTracker workerTracker,
-      TaskLifecycle lifecycle,
-      SchedulerSettings settings) {
+  CommandTracker(WorkerRegistry workers, WorkerTracker workerTracker, TaskLifecycle lifecycle) {
     this.workers = workers;
     this.workerTracker = workerTracker;
     this.lifecycle = lifecycle;
-    this.settings = settings;
   }
 
   /** Returns whether a start that is to be sent is still current, and if so marks it as sent. */
@@ -56,14 +50,11 @@
       return false;
     }
     Task task = found.get();
-    boolean isDue =
-        task.runState == Task.RunState.RECORDING || task.runState == Task.RunState.REPEATING;
-    if (!isDue) {
+    if (task.runState != Task.RunState.RECORDING) {
       return false;
     }
     task.runState = Task.RunState.SENT;
     task.confirmedAt = Long.MAX_VALUE;
-    task.startExecutableUntil = Long.MAX_VALUE;
     return true;
   }
 
@@ -87,20 +78,16 @@
           "event=start_not_confirmed task=%s attempt=%d worker=%s outcome=%s current=%s",
           start.task(), start.attempt(), start.worker(), outcome, found.isPresent());
     }
-    found.ifPresent(task -> limitStartDelivery(task, outcome, now));
     if (outcome == StartOutcome.STARTED_BY_LATER_INCARNATION) {
       workers
           .find(start.worker().id())
           .ifPresent(worker -> workerTracker.onStartedByLaterIncarnation(worker, now));
+      found.ifPresent(task -> lifecycle.noteIncarnation(task, unknownIncarnation(start)));
     }
     if (found.isEmpty() || found.get().runState != Task.RunState.SENT) {
       return;
     }
     Task task = found.get();
-    if (task.isStartRepeated() && isRefusalOfThisCopy(outcome)) {
-      onRepeatedStartRefused(task, outcome, now);
-      return;
-    }
     switch (outcome) {
       // A superseded start has run and ended, or was stopped before: the worker's next status
       // tells.
@@ -128,24 +115,8 @@
     }
   }
 
-  private static boolean isRefusalOfThisCopy(StartOutcome outcome) {
-    return switch (outcome) {
-      case NOT_RUN, NO_ROOM, EXPIRED, TICKET_REFUSED -> true;
-      case STARTED, STARTED_BY_LATER_INCARNATION, FENCED, SUPERSEDED, MALFORMED, GONE, UNKNOWN ->
-          false;
-    };
-  }
-
-  /**
-   * Handles the refusal of a repeated start. It says nothing about the copy of the former leader,
-   * so the task stays assigned; the next status decides again.
-   */
-  private static void onRepeatedStartRefused(Task task, StartOutcome outcome, long now) {
-    if (outcome == StartOutcome.NOT_RUN) {
-      task.worker.ifPresent(worker -> worker.unreachable = true);
-    }
-    task.runState = Task.RunState.RUNNING;
-    task.confirmedAt = now;
+  private static WorkerKey unknownIncarnation(SchedulerCommand.StartTask start) {
+    return new WorkerKey(start.worker().id(), 0);
   }
 
   /**
@@ -161,21 +132,6 @@
     }
   }
 
-  /**
-   * Determines until when a start may still be executed. An answered start was written once, so it
-   * is not executed later; also a start whose run is stopped meanwhile may be unanswered.
-   */
-  private void limitStartDelivery(Task task, StartOutcome outcome, long now) {
-    if (task.startExecutableUntil != Long.MAX_VALUE) {
-      return;
-    }
-    task.onStartDelivered();
-    if (outcome == StartOutcome.UNKNOWN) {
-      task.startExecutableUntil =
-          Math.max(task.startExecutableUntil, now + settings.startDeliveryMilliseconds());
-    }
-  }
-
   /** Handles a worker's response to a stop command. */
   void onStopAnswered(SchedulerCommand.StopTask stop, boolean carriedOut, long now) {
     Optional<Task> found = findCurrentRun(stop.worker(), stop.task(), stop.attempt());
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -43,9 +43,6 @@
   /** Time from which machines may be moved and maintained. */
   private final long machineCommandsAllowedFrom;
 
-  /** Time until which starts may still be executed that the predecessor has sent. */
-  private final long inheritedStartsExecutableUntil;
-
   private final WorkerRegistry workers = new WorkerRegistry();
   private final JobRegistry jobs = new JobRegistry();
   private final MachineInventory machines = new MachineInventory();
@@ -97,21 +94,9 @@
                 + MACHINE_COMMAND_VALIDITY_MILLISECONDS
                 + settings.fenceMilliseconds();
     lifecycle = new TaskLifecycle(jobs, teamUsage, workerHealth, outbox, settings);
-    inheritedStartsExecutableUntil =
-        predecessor == PredecessorState.OVER
-            ? leaderSince + settings.startDeliveryMilliseconds()
-            : predecessorLastRecordAt + settings.inheritedStartMilliseconds();
     workerTracker = new WorkerTracker(workers, lifecycle, settings, inheritedLeasesExpireAt);
-    statusProcessor =
-        new WorkerStatusProcessor(
-            workers,
-            workerTracker,
-            jobs,
-            lifecycle,
-            new StartRepeater(teamUsage, lifecycle, () -> this.declaration),
-            outbox,
-            inheritedStartsExecutableUntil);
-    commandTracker = new CommandTracker(workers, workerTracker, lifecycle, settings);
+    statusProcessor = new WorkerStatusProcessor(workers, workerTracker, jobs, lifecycle, outbox);
+    commandTracker = new CommandTracker(workers, workerTracker, lifecycle);
     WorkerSelector workerSelector = new WorkerSelector(workerHealth);
     taskPlacer = new TaskPlacer(workers, jobs, teamUsage, lifecycle, workerSelector);
     passedOverTaskLog = new PassedOverTaskLog(workers, jobs, teamUsage, workerSelector);
@@ -206,16 +191,15 @@
     task.failures = recorded.getFailures();
     lifecycle.setCheckpoint(task, recorded.getCheckpoint());
     task.phase = recorded.getPhase();
-    if (recorded.getStartRepeated()) {
-      task.earlierStartExecutableUntil = inheritedStartsExecutableUntil;
-      task.earliestStartAt = inheritedStartsExecutableUntil;
-    }
-    task.startExecutableUntil = inheritedStartsExecutableUntil;
     switch (recorded.getPhase()) {
       case DONE -> task.occurrence.markTaskDone(task.id.step());
       case ASSIGNED ->
           lifecycle.restoreAssignment(
-              task, workerTracker.findOrAddWorker(recorded, job.pool, now), now);
+              task,
+              new WorkerKey(
+                  new InstanceId(recorded.getWorker()), recorded.getWorkerBornMilliseconds()),
+              workerTracker.findOrAddWorker(recorded, job.pool, now),
+              now);
       default -> task.phase = TaskProgress.Phase.WAITING;
     }
   }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerSettings.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerSettings.java
@@ -85,16 +85,6 @@
     return expiryMilliseconds(leaseMilliseconds);
   }
 
-  /**
-   * Returns the time after which every lease has certainly expired that a new incarnation of a
-   * worker has received through commands to the former one. These may still be on their way, and
-   * their deadlines are on the clock of the former incarnation, so that the new one limits them to
-   * the longest lease only.
-   */
-  public long restartedLeaseMilliseconds() {
-    return COMMAND_DELIVERY_MILLISECONDS + longestLeaseExpiryMilliseconds();
-  }
-
   /** Returns the time after which the longest lease that a worker accepts has certainly expired. */
   public long longestLeaseExpiryMilliseconds() {
     return expiryMilliseconds(maximumLeaseMilliseconds);
@@ -102,29 +92,13 @@
 
   /**
    * Returns for how long after a successful append was sent a leader may send starts. It is shorter
-   * than the time for which it renews leases, since a successor waits for starts but not for runs.
+   * than the time for which it renews leases, so that a leader that may have been replaced starts
+   * nothing new while it keeps what runs.
    */
   public long startValidityMilliseconds() {
     return START_VALIDITY_MILLISECONDS;
   }
 
-  /**
-   * Returns the time after the last record of a leader from which none of its starts is executed
-   * any more: its last append is as old as that record or older, and a start without a response may
-   * be executed later.
-   */
-  public long inheritedStartMilliseconds() {
-    return START_VALIDITY_MILLISECONDS + COMMAND_DELIVERY_MILLISECONDS;
-  }
-
-  /**
-   * Returns how long a start without a response may still be executed. A later incarnation of the
-   * worker cannot tell that its deadline has passed, since the worker's clock begins anew.
-   */
-  public long startDeliveryMilliseconds() {
-    return COMMAND_DELIVERY_MILLISECONDS;
-  }
-
   private static long expiryMilliseconds(long lease) {
     return lease + lease / CLOCK_ERROR_DIVISOR + TASK_STOP_MILLISECONDS;
   }
@@ -135,9 +109,6 @@
   /** Time within which a worker stops its tasks after the lease has expired. */
   private static final long TASK_STOP_MILLISECONDS = 300;
 
-  /** Time within which a command to a worker arrives and is executed, or never will be. */
-  private static final long COMMAND_DELIVERY_MILLISECONDS = 2_000;
-
   /** Longer than an append takes, which the store refuses if it would have to wait for 2 s. */
   private static final long START_VALIDITY_MILLISECONDS = 2_500;
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/StartOutcome.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/StartOutcome.java
@@ -4,7 +4,10 @@
 public enum StartOutcome {
   /** The worker runs the task. */
   STARTED,
-  /** The worker has started again and runs the task, under a lease that is longer than granted. */
+  /**
+   * The worker has started again and runs the task, under a lease that is longer than granted. No
+   * start should reach a later incarnation than the one that it was prepared for.
+   */
   STARTED_BY_LATER_INCARNATION,
   /** The worker has received a higher fencing token, so another node leads. */
   FENCED,
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -16,8 +16,6 @@
   enum RunState {
     /** The record of the run is not yet durable in the store. */
     RECORDING,
-    /** The start that a former leader recorded is about to be sent once more. */
-    REPEATING,
     /** The start command was sent and has not been answered. */
     SENT,
     /** The start command was not answered, so it may have been executed or may still be. */
@@ -56,7 +54,10 @@
   /** Worker of the current run while the task is assigned. */
   Optional<Worker> worker = Optional.empty();
 
-  /** Key of the current run's worker while the task is assigned; the worker may be gone. */
+  /**
+   * Incarnation that the start of the current run was prepared for, while the task is assigned. It
+   * may be gone, while {@link #worker} is the newest known one.
+   */
   Optional<WorkerKey> workerKey = Optional.empty();
 
   /** Attempts that have certainly ended, but whose end was not listed by their worker. */
@@ -73,20 +74,6 @@
    */
   long confirmedAt;
 
-  /**
-   * Time until which a start of the current run may still be executed, by this or by a later
-   * incarnation of its worker: {@code Long.MAX_VALUE} while the start is not answered, and {@link
-   * #earlierStartExecutableUntil} once it was answered or the run was listed.
-   */
-  long startExecutableUntil = Long.MIN_VALUE;
-
-  /**
-   * Time until which the start that a former leader sent may still be executed by a later
-   * incarnation of the worker, although this leader has sent it once more. {@code Long.MIN_VALUE}
-   * if the start was sent once.
-   */
-  long earlierStartExecutableUntil = Long.MIN_VALUE;
-
   /** Reason for which the current run is being stopped. */
   StopReason stopReason = StopReason.NOT_WANTED;
 
@@ -149,6 +136,16 @@
     return worker.map(assigned -> assigned.unreachable).orElse(true);
   }
 
+  /**
+   * Returns whether the start of the current run was prepared for an earlier incarnation of its
+   * worker than the newest known one.
+   */
+  boolean isOfFormerIncarnation() {
+    long startedFor = workerKey.map(WorkerKey::startedMilliseconds).orElse(0L);
+    return startedFor > 0
+        && worker.map(assigned -> assigned.key.startedMilliseconds() > startedFor).orElse(false);
+  }
+
   /** Notes that the current run has certainly ended, in a way that is not known. */
   void onEndUnknown() {
     attemptsWithUnknownEnd.add(attempt);
@@ -169,29 +166,6 @@
     return attemptsWithUnknownEnd.remove(endedAttempt);
   }
 
-  /** Returns whether the current run was started by a former leader and once more by this one. */
-  boolean isStartRepeated() {
-    return earlierStartExecutableUntil != Long.MIN_VALUE;
-  }
-
-  /**
-   * Returns the time until which a later incarnation of the worker may execute a start of the
-   * current run: {@code Long.MAX_VALUE} while a start is not answered, and {@code Long.MIN_VALUE}
-   * if none was sent that is not answered.
-   */
-  long laterIncarnationMayStartUntil() {
-    return switch (runState) {
-      case SENT, UNCERTAIN, STOPPING -> startExecutableUntil;
-      case REPEATING, RUNNING -> earlierStartExecutableUntil;
-      case RECORDING -> Long.MIN_VALUE;
-    };
-  }
-
-  /** Notes that the newest copy of the start was executed or refused. */
-  void onStartDelivered() {
-    startExecutableUntil = earlierStartExecutableUntil;
-  }
-
   /** Returns whether a run that its worker lists is being stopped for a reason that is void. */
   boolean isStopVoid() {
     return switch (stopReason) {
@@ -216,7 +190,7 @@
             .setAttempt(attempt)
             .setFailures(failures);
     if (phase != TaskProgress.Phase.DONE) {
-      builder.setCheckpoint(checkpoint).setStartRepeated(isStartRepeated());
+      builder.setCheckpoint(checkpoint);
     }
     if (isAssigned()) {
       workerKey.ifPresent(
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.flamingochute.decision.placement.WorkerHealth;
 import org.flamingochute.scheduling.worker.EndReason;
+import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.TaskProgress;
 
@@ -15,14 +16,13 @@
  *
  * <p>An assigned task counts against its worker's capacity and its team's cap until its run has
  * certainly ended. Proof is one of: the start command was not sent or was refused; the worker lists
- * the run as finished; a status of the worker's newest incarnation does not contain the run, and
- * was requested after the start was answered, or after its stop was confirmed and the start can no
- * longer be executed; the worker's lease has expired; or a worker with another id answers at its
- * address.
+ * the run as finished; a status of the worker does not contain the run, and was requested after the
+ * start was answered or its stop was confirmed, or the start is one of a previous leader; a later
+ * incarnation of the worker responds; the worker's lease has expired; or a worker with another id
+ * answers at its address.
  *
  * <p>A report in the store is no proof, neither of another worker at the same address nor of a new
- * incarnation: the former may be outdated or foreign, and the latter may have executed a start that
- * was sent to the former incarnation.
+ * incarnation: it may be outdated or foreign.
  */
 final class TaskLifecycle {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -57,8 +57,6 @@
     task.phase = TaskProgress.Phase.ASSIGNED;
     task.runState = Task.RunState.RECORDING;
     task.attempt = attempt;
-    task.earlierStartExecutableUntil = Long.MIN_VALUE;
-    task.startExecutableUntil = Long.MIN_VALUE;
     task.confirmedAt = now;
     task.assignedAt = now;
     task.percent = 0;
@@ -73,41 +71,20 @@
             worker.key, task.id, attempt, task.job.definition.getPayload(), task.checkpoint));
   }
 
-  /** Restores a run that a previous leader recorded. */
-  void restoreAssignment(Task task, Worker worker, long now) {
+  /**
+   * Restores a run that a previous leader recorded.
+   *
+   * @param startedOn incarnation that the start was prepared for
+   * @param worker newest known incarnation of that worker
+   */
+  void restoreAssignment(Task task, WorkerKey startedOn, Worker worker, long now) {
     task.assignedAt = now;
     task.percentChangedAt = now;
     task.statusReceivedAt = now;
     task.runState = Task.RunState.RUNNING;
     task.confirmedAt = Long.MIN_VALUE;
     addToWorker(task, worker);
-  }
-
-  /**
-   * Sends the start of an inherited run once more, which its worker does not list although it has
-   * received this leader's token.
-   *
-   * <p>The start is idempotent: it names the same attempt, and that incarnation refuses the copy of
-   * the former leader from now on. Only a later incarnation may still execute that copy, which then
-   * is the same run on the same worker. So the task need not wait until the copy has expired.
-   */
-  void repeatStart(Task task) {
-    logger.atInfo().log(
-        "event=start_repeated task=%s attempt=%d worker=%s",
-        task.id, task.attempt, task.workerKey.map(Object::toString).orElse("-"));
-    task.runState = Task.RunState.REPEATING;
-    task.earlierStartExecutableUntil = task.startExecutableUntil;
-    task.reportedCheckpoint = task.checkpoint;
-    outbox.markChanged(task.job);
-    task.worker.ifPresent(
-        worker ->
-            outbox.sendAfterRecording(
-                new SchedulerCommand.StartTask(
-                    worker.key,
-                    task.id,
-                    task.attempt,
-                    task.job.definition.getPayload(),
-                    task.checkpoint)));
+    task.workerKey = Optional.of(startedOn);
   }
 
   /** Assigns a waiting task to the worker that lists its last run, which has not ended. */
@@ -151,42 +128,46 @@
     removeFromWorker(task);
   }
 
+  /** Notes the incarnation that lists the current run of a task. */
+  void noteIncarnation(Task task, WorkerKey incarnation) {
+    if (!task.workerKey.equals(Optional.of(incarnation))) {
+      task.workerKey = Optional.of(incarnation);
+      outbox.markChanged(task.job);
+    }
+  }
+
   /**
-   * Moves an assigned task to a new incarnation of its worker, which may have executed the task's
-   * start or may still do so. Only a start that was not sent cannot have reached it.
+   * Moves an assigned task to a new incarnation of its worker, which is known from the store or has
+   * responded. The first status of that incarnation ends the run. Its record goes on to name the
+   * incarnation that the start was prepared for. A start that was not sent never will be.
    */
   void transferToIncarnation(Task task, Worker successor, long now) {
     if (task.runState == Task.RunState.RECORDING) {
       release(task, "worker_started_again");
       return;
     }
+    final Optional<WorkerKey> startedOn = task.workerKey;
     removeFromWorker(task);
     addToWorker(task, successor);
+    task.workerKey = startedOn;
     // The new incarnation has listed no run yet, so none counts as available.
     task.percent = 0;
-    outbox.markChanged(task.job);
-    if (task.runState == Task.RunState.RUNNING || task.runState == Task.RunState.REPEATING) {
+    if (task.runState == Task.RunState.RUNNING) {
       // A confirmation says nothing of the new incarnation; its next status does.
-      task.runState = Task.RunState.RUNNING;
       task.confirmedAt = now;
     } else if (task.runState == Task.RunState.STOPPING) {
       // The former incarnation may have confirmed the stop.
       task.confirmedAt = Long.MAX_VALUE;
-      resendStop(task, now);
     }
   }
 
-  /**
-   * Returns an assigned task to the waiting state; its run must certainly have ended. If an earlier
-   * copy of its start may still be executed, the task waits until that is over.
-   */
+  /** Returns an assigned task to the waiting state; its run must certainly have ended. */
   void release(Task task, String cause) {
     logger.atInfo().log(
         "event=run_over task=%s attempt=%d worker=%s cause=%s",
         task.id, task.attempt, task.workerKey.map(Object::toString).orElse("-"), cause);
     removeFromWorker(task);
     task.phase = TaskProgress.Phase.WAITING;
-    task.earliestStartAt = Math.max(task.earliestStartAt, task.startExecutableUntil);
     outbox.markChanged(task.job);
     closeIfEnded(task.job);
   }
@@ -202,7 +183,6 @@
 
   /** Releases a task whose worker has certainly ended, so that it executes no start any more. */
   void releaseFromReplacedWorker(Task task) {
-    task.startExecutableUntil = Long.MIN_VALUE;
     release(task, "worker_replaced");
   }
 
@@ -263,7 +243,6 @@
   /** Applies the end of a run that the task's worker listed. */
   void onRunEnded(
       Task task, EndReason reason, String checkpoint, long now, long wallClockMilliseconds) {
-    task.onStartDelivered();
     setCheckpoint(task, checkpoint);
     if (reason == EndReason.DONE && !task.step.getLongRunning()) {
       task.worker.ifPresent(
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
@@ -40,6 +40,9 @@
   /** Time at which all its tasks have certainly ended, unless the lease is renewed. */
   long leaseExpiresAt;
 
+  /** Time at which the last call with a deadline was sent to this incarnation. */
+  long deadlineSentAt = NEVER;
+
   /** Time at which the newest status arrived. */
   long statusReceivedAt = NEVER;
 
@@ -49,9 +52,6 @@
   /** Number of the last finished run that is or will be acknowledged. */
   long lastAcknowledgedFinishedNumber;
 
-  /** Time until which no finished run may be acknowledged. */
-  long endsKeptUntil = Long.MIN_VALUE;
-
   /** Tasks that may have a run on this worker. */
   final Map<TaskId, Task> tasks = new LinkedHashMap<>();
 
@@ -63,8 +63,9 @@
     this.leaseExpiresAt = leaseExpiresAt;
   }
 
-  void keepEndsUntil(long time) {
-    endsKeptUntil = Math.max(endsKeptUntil, time);
+  void onDeadlineSent(long now, long leaseExpiryMilliseconds) {
+    deadlineSentAt = now;
+    leaseExpiresAt = Math.max(leaseExpiresAt, now + leaseExpiryMilliseconds);
   }
 
   void add(Task task) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
@@ -16,10 +16,10 @@
  * Applies the status that workers return with each lease renewal: finished, running and missing
  * runs.
  *
- * <p>A missing run has certainly ended only if the status was requested after the worker had the
- * run, and only if the status contains all finished runs. A confirmed stop is not enough for a run
- * whose start was not answered: the start may be executed by an incarnation that knows nothing of
- * the stop. Such a run has ended if it is missing once its start can no longer be executed.
+ * <p>A missing run has certainly ended only if the status contains all finished runs and was
+ * requested after the worker had the run, or had received the stop of a run whose start was not
+ * answered. A run that a previous leader recorded has also ended: the worker has received the token
+ * of this leader with the request, and refuses a start of the previous one.
  */
 final class WorkerStatusProcessor {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -31,27 +31,19 @@
   private final WorkerTracker workerTracker;
   private final JobRegistry jobs;
   private final TaskLifecycle lifecycle;
-  private final StartRepeater startRepeater;
   private final Outbox outbox;
 
-  /** Time until which starts may still be executed that the predecessor has sent. */
-  private final long inheritedStartsExecutableUntil;
-
   WorkerStatusProcessor(
       WorkerRegistry workers,
       WorkerTracker workerTracker,
       JobRegistry jobs,
       TaskLifecycle lifecycle,
-      StartRepeater startRepeater,
-      Outbox outbox,
-      long inheritedStartsExecutableUntil) {
+      Outbox outbox) {
     this.workers = workers;
     this.workerTracker = workerTracker;
     this.jobs = jobs;
     this.lifecycle = lifecycle;
-    this.startRepeater = startRepeater;
     this.outbox = outbox;
-    this.inheritedStartsExecutableUntil = inheritedStartsExecutableUntil;
   }
 
   /**
@@ -65,15 +57,15 @@
     if (found.isEmpty()) {
       return;
     }
-    Worker worker = found.get();
-    if (!status.isOf(key)) {
-      workerTracker.onIncarnationObserved(worker, status.startedMilliseconds(), now);
-      return;
-    }
+    Worker worker =
+        status.isOf(key)
+            ? found.get()
+            : workerTracker.onIncarnationObserved(
+                found.get(), status.startedMilliseconds(), sentAt, now);
     if (!worker.leaseConfirmed || worker.unreachable) {
       logger.atInfo().log(
           "event=worker_reached worker=%s running=%d finished=%d",
-          key, status.running().size(), status.finished().size());
+          worker.key, status.running().size(), status.finished().size());
     }
     worker.leaseConfirmed = true;
     worker.unreachable = false;
@@ -92,21 +84,19 @@
       worker.lastAppliedFinishedNumber = finishedRun.number();
       applyFinishedRun(worker, finishedRun, now, wallClockMilliseconds);
     }
-    acknowledgeFinishedRuns(worker, now);
+    acknowledgeFinishedRuns(worker);
   }
 
   private void applyFinishedRun(
       Worker worker, FinishedTask end, long now, long wallClockMilliseconds) {
     Optional<Task> found = findEndedRun(worker, end);
     if (found.isPresent()) {
-      worker.keepEndsUntil(found.get().earlierStartExecutableUntil);
       lifecycle.onRunEnded(found.get(), end.reason(), end.checkpoint(), now, wallClockMilliseconds);
       return;
     }
     logger.atInfo().log(
         "event=stale_end task=%s attempt=%d worker=%s reason=%s",
         end.task(), end.attempt(), worker.key, end.reason());
-    worker.keepEndsUntil(inheritedStartsExecutableUntil);
     jobs.find(end.task())
         .ifPresent(
             task ->
@@ -145,13 +135,10 @@
     return jobs.find(id).filter(task -> task.isWaiting() && task.attempt == attempt);
   }
 
-  /**
-   * Acknowledges the applied ends, unless a run among them may be started again: an earlier copy of
-   * its start may reach a later incarnation, which forgets ends that were not acknowledged.
-   */
-  private void acknowledgeFinishedRuns(Worker worker, long now) {
+  /** Acknowledges the applied ends once they are recorded. */
+  private void acknowledgeFinishedRuns(Worker worker) {
     boolean isDue = worker.lastAppliedFinishedNumber > worker.lastAcknowledgedFinishedNumber;
-    if (!isDue || now <= worker.endsKeptUntil) {
+    if (!isDue) {
       return;
     }
     worker.lastAcknowledgedFinishedNumber = worker.lastAppliedFinishedNumber;
@@ -179,6 +166,7 @@
         lifecycle.resumeRun(task, worker, now);
       }
       listedTasks.add(runningTask.task());
+      lifecycle.noteIncarnation(task, worker.key);
       if (task.runState == Task.RunState.STOPPING && sentAt > task.confirmedAt) {
         // The confirmation was that of a former incarnation, so the stop must be repeated.
         task.confirmedAt = Long.MAX_VALUE;
@@ -194,23 +182,22 @@
       return;
     }
     for (Task task : List.copyOf(worker.tasks.values())) {
+      if (listedTasks.contains(task.id)) {
+        continue;
+      }
+      if (task.isOfFormerIncarnation()) {
+        lifecycle.releaseWithoutEnd(task, "worker_started_again");
+        continue;
+      }
       boolean mustBeListed =
           (task.runState == Task.RunState.RUNNING || task.runState == Task.RunState.STOPPING)
               && sentAt > task.confirmedAt;
-      if (mustBeListed && !listedTasks.contains(task.id)) {
-        onRunMissing(worker, task, sentAt);
+      if (mustBeListed) {
+        lifecycle.releaseWithoutEnd(task, "not_on_worker");
       }
     }
   }
 
-  private void onRunMissing(Worker worker, Task task, long sentAt) {
-    if (sentAt > task.startExecutableUntil) {
-      lifecycle.releaseWithoutEnd(task, "not_on_worker");
-      return;
-    }
-    startRepeater.repeatIfAllowed(task, worker);
-  }
-
   private void stopUnknownRun(Worker worker, RunningTask runningTask) {
     logger.atInfo().log(
         "event=stray_run task=%s attempt=%d worker=%s",
@@ -220,8 +207,6 @@
   }
 
   private void updateProgress(Task task, RunningTask runningTask, long now) {
-    // Its newest start was executed, and it was written once.
-    task.onStartDelivered();
     if (task.runState == Task.RunState.SENT || task.runState == Task.RunState.UNCERTAIN) {
       task.runState = Task.RunState.RUNNING;
       task.confirmedAt = now;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
@@ -17,8 +17,11 @@
  * Tracks the workers, and for each one the time until which tasks may still run on it.
  *
  * <p>The tasks of a worker that does not respond stay assigned to it until they have certainly
- * ended: its lease has expired, its new incarnation does not list them, or a worker with another id
- * responds at its address.
+ * ended: its lease has expired, a later incarnation or a worker with another id responds at its
+ * address, or it does not list them.
+ *
+ * <p>A call that carries a deadline is executed by the incarnation that it was prepared for, or by
+ * none, so no incarnation has a longer lease than was sent to it.
  */
 final class WorkerTracker {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -45,7 +48,7 @@
    * Returns the worker that a recorded run was assigned to; it may no longer be listed.
    *
    * <p>If the record and the store name different incarnations, the newer one has replaced the
-   * other, and its lists tell whether it has executed the recorded start.
+   * other, and its first status ends the runs of the other one.
    */
   Worker findOrAddWorker(TaskProgress recorded, PoolId pool, long now) {
     WorkerKey key =
@@ -60,9 +63,6 @@
     if (worker.key.startedMilliseconds() < key.startedMilliseconds()) {
       return replaceIncarnation(worker, worker.report.ofIncarnation(key), false, now);
     }
-    if (worker.key.startedMilliseconds() > key.startedMilliseconds()) {
-      extendLeaseOfRestarted(worker, now);
-    }
     return worker;
   }
 
@@ -116,17 +116,25 @@
   /**
    * Handles a response from another incarnation of a worker, which may not be listed yet.
    *
+   * <p>If the call carried a deadline it should not have reached that incarnation, which may have
+   * taken the deadline for one on its own clock: then the longest lease is counted.
+   *
    * @param startedMilliseconds start time of the incarnation that responded
+   * @param sentAt time at which the call was sent
+   * @return the incarnation that responded
    */
-  void onIncarnationObserved(Worker worker, long startedMilliseconds, long now) {
+  Worker onIncarnationObserved(Worker worker, long startedMilliseconds, long sentAt, long now) {
     WorkerKey key = new WorkerKey(worker.key.id(), startedMilliseconds);
-    replaceIncarnation(worker, worker.report.ofIncarnation(key), false, now);
+    Worker observed = replaceIncarnation(worker, worker.report.ofIncarnation(key), false, now);
+    if (worker.deadlineSentAt >= sentAt) {
+      extendLeaseToLongest(observed, now);
+    }
+    return observed;
   }
 
   /**
-   * Replaces an incarnation of a worker by another one, which takes over all runs whose start may
-   * have reached it: commands name the worker but not its incarnation, and are delivered on new
-   * connections too. Its own lists then tell which of the runs it has.
+   * Replaces an incarnation of a worker by another one. The runs of the former one stay assigned
+   * until the other one responds, since a report in the store proves nothing.
    */
   private Worker replaceIncarnation(Worker former, WorkerReport report, boolean listed, long now) {
     logger.atInfo().log(
@@ -134,7 +142,6 @@
         report.key(), former.key, listed, former.tasks.size());
     Worker successor = new Worker(report, former.leaseExpiresAt);
     successor.listed = listed;
-    extendLeaseOfRestarted(successor, now);
     workers.remove(former);
     workers.add(successor);
     for (Task task : List.copyOf(former.tasks.values())) {
@@ -143,16 +150,15 @@
     return successor;
   }
 
-  private void extendLeaseOfRestarted(Worker worker, long now) {
-    worker.leaseExpiresAt =
-        Math.max(worker.leaseExpiresAt, now + settings.restartedLeaseMilliseconds());
-  }
-
   /**
    * Handles a start that was executed by a later incarnation, which took its deadline for one on
-   * its own clock.
+   * its own clock. No start should reach one.
    */
   void onStartedByLaterIncarnation(Worker worker, long now) {
+    extendLeaseToLongest(worker, now);
+  }
+
+  private void extendLeaseToLongest(Worker worker, long now) {
     worker.leaseExpiresAt =
         Math.max(worker.leaseExpiresAt, now + settings.longestLeaseExpiryMilliseconds());
   }
@@ -202,10 +208,7 @@
   void onLeaseSent(WorkerKey key, long now) {
     workers
         .find(key)
-        .ifPresent(
-            worker ->
-                worker.leaseExpiresAt =
-                    Math.max(worker.leaseExpiresAt, now + settings.leaseExpiryMilliseconds()));
+        .ifPresent(worker -> worker.onDeadlineSent(now, settings.leaseExpiryMilliseconds()));
   }
 
   /**
@@ -228,18 +231,6 @@
     found.get().unreachable = true;
   }
 
-  /**
-   * Returns whether a start without a response may have been executed by a later incarnation of the
-   * worker, which takes the longest lease for it and may not have responded since.
-   */
-  private boolean mayRunOnRestartedWorker(Task task, long now) {
-    long until = task.laterIncarnationMayStartUntil();
-    if (until == Long.MIN_VALUE || until == Long.MAX_VALUE) {
-      return until == Long.MAX_VALUE;
-    }
-    return now <= until + settings.longestLeaseExpiryMilliseconds();
-  }
-
   /**
    * Releases the tasks of workers whose leases have certainly expired, and removes unlisted ones.
    */
@@ -249,9 +240,7 @@
         continue;
       }
       for (Task task : List.copyOf(worker.tasks.values())) {
-        if (!mayRunOnRestartedWorker(task, now)) {
-          lifecycle.releaseWithoutEnd(task, "lease_expired");
-        }
+        lifecycle.releaseWithoutEnd(task, "lease_expired");
       }
       if (!worker.listed && worker.tasks.isEmpty()) {
         workers.remove(worker);
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/WorkerFaultInjector.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/WorkerFaultInjector.java
@@ -44,8 +44,8 @@
   }
 
   /**
-   * Restarts the worker just before its next start arrives, so that the new incarnation executes a
-   * start that was sent to the former one. The new incarnation writes no report yet.
+   * Restarts the worker just before its next start arrives, so that a start that was sent to the
+   * former incarnation reaches the new one. The new incarnation writes no report yet.
    */
   public void restartBeforeNextStart() {
     worker.restartsBeforeNextStart = true;
