Allow for whole milliseconds in the lower bound of a worker's clock

Cause: a start whose response has a clock below the bound counts as executed by a later incarnation. Both clocks are read in whole milliseconds, so the clock of a worker that never restarted may be up to 2 ms below the bound.

--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerClockEstimate.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerClockEstimate.java
@@ -19,6 +19,12 @@
    */
   private static final long MAXIMUM_AGE_MILLISECONDS = 5_000;
 
+  /**
+   * By how much the difference of two readings may exceed the time between them: the clocks are read
+   * in whole milliseconds.
+   */
+  private static final long READING_ERROR_MILLISECONDS = 2;
+
   private boolean known;
   private long clockMilliseconds;
   private long observedAt;
@@ -39,7 +45,8 @@
 
   /** Returns a lower bound of the clock at the given time, if the worker has not started again. */
   long earliestAt(long now) {
-    return estimateAt(now) - (now - observedAt) / DRIFT_DIVISOR;
+    long drift = (now - observedAt) / DRIFT_DIVISOR;
+    return estimateAt(now) - drift - READING_ERROR_MILLISECONDS;
   }
 
   long estimateAt(long now) {
