Scheduler: a response of a later incarnation ends runs, and nothing else is taken from it

Only the runs of the former incarnation end with that status now, except listed ones; the first status of the later incarnation's own session decides the rest.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
@@ -57,15 +57,18 @@
     if (found.isEmpty()) {
       return;
     }
-    Worker worker =
-        status.isOf(key)
-            ? found.get()
-            : workerTracker.onIncarnationObserved(
-                found.get(), status.startedMilliseconds(), sentAt, now);
+    Worker worker = found.get();
+    if (!status.isOf(key)) {
+      // Its clock and its ends are those of a session that does not exist yet.
+      endRunsOfFormerIncarnation(
+          workerTracker.onIncarnationObserved(worker, status.startedMilliseconds(), sentAt, now),
+          status);
+      return;
+    }
     if (!worker.leaseConfirmed || worker.unreachable) {
       logger.atInfo().log(
           "event=worker_reached worker=%s running=%d finished=%d",
-          worker.key, status.running().size(), status.finished().size());
+          key, status.running().size(), status.finished().size());
     }
     worker.leaseConfirmed = true;
     worker.unreachable = false;
@@ -73,6 +76,27 @@
     applyFinishedRuns(worker, status.finished(), now, wallClockMilliseconds);
     boolean allFinishedRunsListed = status.finished().size() < MAXIMUM_LISTED_FINISHED_RUNS;
     applyRunningTasks(worker, status.running(), sentAt, allFinishedRunsListed, now);
+    endRunsOfFormerIncarnation(worker, status);
+  }
+
+  /**
+   * Releases the tasks whose starts were prepared for an earlier incarnation than the one that has
+   * responded: that one has ended, and no other executes its starts. A run that is listed all the
+   * same is kept.
+   */
+  private void endRunsOfFormerIncarnation(Worker worker, WorkerStatus status) {
+    for (Task task : List.copyOf(worker.tasks.values())) {
+      if (task.isOfFormerIncarnation() && !isListed(status, task)) {
+        lifecycle.releaseWithoutEnd(task, "worker_started_again");
+      }
+    }
+  }
+
+  private static boolean isListed(WorkerStatus status, Task task) {
+    return status.running().stream()
+            .anyMatch(run -> run.task().equals(task.id) && run.attempt() == task.attempt)
+        || status.finished().stream()
+            .anyMatch(end -> end.task().equals(task.id) && end.attempt() == task.attempt);
   }
 
   private void applyFinishedRuns(
@@ -182,17 +206,10 @@
       return;
     }
     for (Task task : List.copyOf(worker.tasks.values())) {
-      if (listedTasks.contains(task.id)) {
-        continue;
-      }
-      if (task.isOfFormerIncarnation()) {
-        lifecycle.releaseWithoutEnd(task, "worker_started_again");
-        continue;
-      }
       boolean mustBeListed =
           (task.runState == Task.RunState.RUNNING || task.runState == Task.RunState.STOPPING)
               && sentAt > task.confirmedAt;
-      if (mustBeListed) {
+      if (mustBeListed && !listedTasks.contains(task.id)) {
         lifecycle.releaseWithoutEnd(task, "not_on_worker");
       }
     }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/LaterIncarnationTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/LaterIncarnationTest.java
@@ -143,6 +143,8 @@
     commandTracker.onStartAnswered(start, StartOutcome.UNKNOWN, 20, 20);
 
     receiveStatus(FORMER, LATER.startedMilliseconds(), 30, running());
+    assertThat(task.isAssigned(), is(true));
+    receiveStatus(LATER, LATER.startedMilliseconds(), 50, running());
 
     assertThat(task.isRunning(), is(true));
     assertThat(task.toProgress().getWorkerBornMilliseconds(), is(9L));
