--- a/scheduling/src/test/java/org/flamingochute/scheduling/schedule/ScheduleSweep.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/schedule/ScheduleSweep.java
@@ -18,9 +18,13 @@
   /** Holds the logger, whose level would be lost with it. */
   private static final Logger LOGGER = Logger.getLogger("org.flamingochute");
 
+  /** Number of schedules after which a line on standard error tells how many were run. */
+  private static final long PROGRESS_INTERVAL = 1_000;
+
   private final long firstSeed;
   private final long count;
   private final AtomicLong nextSeed;
+  private final AtomicLong done = new AtomicLong();
   private final AtomicLong failures = new AtomicLong();
 
   private ScheduleSweep(long firstSeed, long count) {
@@ -61,6 +65,10 @@
     long seed = nextSeed.getAndIncrement();
     while (seed < firstSeed + count) {
       runSchedule(seed);
+      long ran = done.incrementAndGet();
+      if (ran % PROGRESS_INTERVAL == 0) {
+        System.err.println("schedules_done=" + ran + " failed=" + failures.get());
+      }
       seed = nextSeed.getAndIncrement();
     }
   }
