--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerClockEstimate.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerClockEstimate.java
@@ -20,8 +20,8 @@
   private static final long MAXIMUM_AGE_MILLISECONDS = 5_000;
 
   /**
-   * By how much the difference of two readings may exceed the time between them: the clocks are read
-   * in whole milliseconds.
+   * By how much the difference of two readings may exceed the time between them: the clocks are
+   * read in whole milliseconds.
    */
   private static final long READING_ERROR_MILLISECONDS = 2;
 
