Keep starts that are being recorded when an earlier lease expires

Cause: a worker that responds again after its lease has expired gets tasks at once, while the time of its lease is still in the past.

Change: only runs whose start may have been sent end with the lease.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
@@ -240,7 +240,10 @@
         continue;
       }
       for (Task task : List.copyOf(worker.tasks.values())) {
-        lifecycle.releaseWithoutEnd(task, "lease_expired");
+        // A start that is being recorded is not covered by the lease; its own deadline is to come.
+        if (task.runState != Task.RunState.RECORDING) {
+          lifecycle.releaseWithoutEnd(task, "lease_expired");
+        }
       }
       if (!worker.listed && worker.tasks.isEmpty()) {
         workers.remove(worker);
