Mark a start as sent when it is written, not before it waits

Cause (found by the review, by reading): since starts wait for a connection on which the incarnation has responded, time passes between the check that a start is current and its write. Its run may be given up meanwhile, for example because the worker's lease expires, and be started elsewhere (TWICE).

Change: the scheduler is asked directly before the write. Until then the run counts as not sent, so that a stop or an expired lease ends it at once, and a start that turns out not to be written goes back to that state.

Test: WorkerSessionTest.startIsNotSentOnceItsRunWasGivenUp.

--- a/node/src/main/java/org/flamingochute/node/leadership/LeadershipContext.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/LeadershipContext.java
@@ -1,8 +1,17 @@
 package org.flamingochute.node.leadership;
 
+import org.flamingochute.scheduling.core.SchedulerCommand;
+
 /** The current term of the leadership, for the senders of commands. */
 interface LeadershipContext {
 
+  /**
+   * Marks a start as sent, directly before it is written.
+   *
+   * @return false if the run is not wanted any more, so that the start must not be sent
+   */
+  boolean beginStart(SchedulerCommand.StartTask start);
+
   /** Returns the epoch of the term, which is the fencing token of all commands. */
   long epoch();
 
--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
@@ -390,17 +390,19 @@
     return Optional.ofNullable(sessions.get(worker));
   }
 
+  @Override
+  public boolean beginStart(SchedulerCommand.StartTask start) {
+    return scheduler.beginStart(start);
+  }
+
   private void startTask(SchedulerCommand.StartTask start) {
-    if (!scheduler.beginStart(start)) {
-      return;
-    }
     Optional<WorkerSession> session = session(start.worker());
-    if (session.isEmpty()) {
+    if (session.isPresent()) {
+      session.get().startTask(start);
+    } else if (scheduler.beginStart(start)) {
       scheduler.onStartAnswered(
           start, StartOutcome.NOT_RUN, clock.steadyMilliseconds(), clock.wallClockMilliseconds());
-      return;
     }
-    session.get().startTask(start);
   }
 
   private void reportWave(SchedulerCommand.ReportWave report) {
--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
@@ -235,13 +235,13 @@
   private void startTask(SchedulerCommand.StartTask start, int connectionsLeft) {
     Optional<StartOutcome> refusal = refusalOfStart();
     if (refusal.isPresent()) {
-      onStartAnswered(start, refusal.get());
+      rejectUnsent(start, refusal.get());
       return;
     }
     startConnections.acquire(
         connection -> {
           if (connection.isEmpty()) {
-            onStartAnswered(start, StartOutcome.NOT_RUN);
+            rejectUnsent(start, StartOutcome.NOT_RUN);
           } else {
             startOn(connection.get(), start, connectionsLeft - 1);
           }
@@ -264,8 +264,13 @@
       ConnectionId connection, SchedulerCommand.StartTask start, int connectionsLeft) {
     Optional<StartOutcome> refusal = refusalOfStart();
     if (refusal.isPresent()) {
+      rejectUnsent(start, refusal.get());
+      startConnections.release(connection);
+      return;
+    }
+    // The run may have been given up while the start waited for the connection.
+    if (!leadership.beginStart(start)) {
       startConnections.release(connection);
-      onStartAnswered(start, refusal.get());
       return;
     }
     long now = clock.steadyMilliseconds();
@@ -291,20 +296,28 @@
 
   private void onStartEnded(
       ConnectionId connection, SchedulerCommand.StartTask start, StartOutcome outcome) {
+    onStartAnswered(start, outcome);
     if (outcome == StartOutcome.UNKNOWN) {
       startConnections.discard();
     } else {
       startConnections.release(connection);
     }
-    onStartAnswered(start, outcome);
   }
 
   private void onStartNotSent(SchedulerCommand.StartTask start, int connectionsLeft) {
+    scheduler.onStartNotSent(start);
     startConnections.discard();
     if (connectionsLeft > 0) {
       startTask(start, connectionsLeft);
     } else {
-      onStartAnswered(start, StartOutcome.NOT_RUN);
+      rejectUnsent(start, StartOutcome.NOT_RUN);
+    }
+  }
+
+  /** Gives up a start that was not sent, unless the run was given up before. */
+  private void rejectUnsent(SchedulerCommand.StartTask start, StartOutcome outcome) {
+    if (leadership.beginStart(start)) {
+      onStartAnswered(start, outcome);
     }
   }
 
--- a/node/src/test/java/org/flamingochute/node/leadership/OutdatedTermTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/OutdatedTermTest.java
@@ -69,6 +69,11 @@
     private final CountDownLatch changed = new CountDownLatch(1);
     private volatile boolean outdated;
 
+    @Override
+    public boolean beginStart(SchedulerCommand.StartTask start) {
+      return true;
+    }
+
     @Override
     public long epoch() {
       return 1;
--- a/node/src/test/java/org/flamingochute/node/leadership/WorkerSessionTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/WorkerSessionTest.java
@@ -77,6 +77,7 @@
           0,
           0);
   private volatile boolean canRenewLeases = true;
+  private volatile boolean isStartWanted = true;
   private HttpServer server;
 
   /** A call to the worker, which waits for its response. */
@@ -119,6 +120,11 @@
   }
 
   private final class TestContext implements LeadershipContext {
+    @Override
+    public boolean beginStart(SchedulerCommand.StartTask start) {
+      return isStartWanted;
+    }
+
     @Override
     public long epoch() {
       return 1;
@@ -450,4 +456,29 @@
     }
     assertThat(starts, empty());
   }
+
+  /**
+   * Guards against TWICE: a start waits for a connection, its run is given up and started on
+   * another worker meanwhile, and then the start is sent.
+   */
+  @Test
+  void startIsNotSentOnceItsRunWasGivenUp() throws Exception {
+    WorkerSession session = startSession(FORMER);
+    nextCall().respond(status(FORMER, ""));
+    final Call longPoll = nextCall();
+    requestStart(session, 1);
+    final Call opening = nextCall();
+    isStartWanted = false;
+    opening.respond(status(FORMER, ""));
+    longPoll.respond(status(FORMER, ""));
+    List<String> starts = new ArrayList<>();
+    for (int i = 0; i < 2; i++) {
+      Call call = nextCall();
+      if (isStart(call)) {
+        starts.add(call.body());
+      }
+      call.respond(status(FORMER, ""));
+    }
+    assertThat(starts, empty());
+  }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
@@ -58,6 +58,13 @@
     return true;
   }
 
+  /** Handles a start that was marked as sent but was not written. */
+  void onStartNotSent(SchedulerCommand.StartTask start) {
+    findCurrentRun(start.worker(), start.task(), start.attempt())
+        .filter(task -> task.runState == Task.RunState.SENT)
+        .ifPresent(task -> task.runState = Task.RunState.RECORDING);
+  }
+
   private Optional<Task> findCurrentRun(WorkerKey workerKey, TaskId id, int attempt) {
     // The run may have been transferred to a newer incarnation after the command was sent.
     return workers
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -267,11 +267,19 @@
     workerTracker.onRenewalFailed(key, gone, cause);
   }
 
-  /** Returns whether a recorded start is still current, and if so marks it as sent. */
+  /**
+   * Returns whether a recorded start is still current, and if so marks it as sent. To be called
+   * directly before the start is written: from then on the run may exist.
+   */
   public boolean beginStart(SchedulerCommand.StartTask start) {
     return commandTracker.beginStart(start);
   }
 
+  /** Handles a start that was not written after all, and is about to be sent again. */
+  public void onStartNotSent(SchedulerCommand.StartTask start) {
+    commandTracker.onStartNotSent(start);
+  }
+
   /** Handles a worker's response to a start command. */
   public void onStartAnswered(
       SchedulerCommand.StartTask start,
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -14,7 +14,7 @@
 
   /** What is known about the current run. */
   enum RunState {
-    /** The record of the run is not yet durable in the store. */
+    /** The start was not sent: its record is not durable yet, or it waits for a connection. */
     RECORDING,
     /** The start command was sent and has not been answered. */
     SENT,
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
@@ -240,7 +240,7 @@
         continue;
       }
       for (Task task : List.copyOf(worker.tasks.values())) {
-        // A start that is being recorded is not covered by the lease; its own deadline is to come.
+        // A start that was not sent is not covered by the lease; its own deadline is to come.
         if (task.runState != Task.RunState.RECORDING) {
           lifecycle.releaseWithoutEnd(task, "lease_expired");
         }
