Mend what the review of start connections found

- Up to four idle connections may have been closed meanwhile, and a start was given up after three, with the worker counted as unreachable: it is tried on more connections than there are idle ones.
- A start that was sent beside a read of the status counted as evidence that the read had carried a deadline, so that the longest lease was counted for a worker that had restarted: only renewals count.
- Two tests expected that the connection of a status can be used at once; it is closed if its release takes 100 ms, as it may beside other load.
They wait for the renewal that grants a lease now.

--- a/node/src/main/java/org/flamingochute/node/leadership/IncarnationConnections.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/IncarnationConnections.java
@@ -21,7 +21,7 @@
  */
 final class IncarnationConnections {
   /** Fewer than the connections to one address, of which one carries the renewals. */
-  private static final int MAXIMUM_CONNECTIONS = 4;
+  static final int MAXIMUM_CONNECTIONS = 4;
 
   /**
    * Time after which one more connection is opened for the commands that wait, since the response
--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
@@ -36,8 +36,12 @@
   private static final long MINIMUM_RETRY_DELAY_MILLISECONDS = 50;
   private static final long MAXIMUM_RETRY_DELAY_MILLISECONDS = 400;
 
-  /** Most connections on which one start is tried; none but the last receives it. */
-  private static final int MAXIMUM_START_CONNECTIONS = 3;
+  /**
+   * Most connections on which one start is tried; none but the last receives it. They are more than
+   * the idle ones, all of which may have been closed meanwhile.
+   */
+  private static final int MAXIMUM_START_CONNECTIONS =
+      IncarnationConnections.MAXIMUM_CONNECTIONS + 2;
 
   /**
    * Longest wait for finished runs to be recorded before the lease is renewed without acknowledging
@@ -165,7 +169,8 @@
       }
       case LeaseRenewalOutcome.NotSent notSent -> {
         forgetStatus();
-        renew();
+        // A worker that closes each connection after a response would be called without a pause.
+        loop.delay(MINIMUM_RETRY_DELAY_MILLISECONDS, this::renew);
       }
       case LeaseRenewalOutcome.Fenced fenced -> leadership.onFenced("worker " + worker.key());
       case LeaseRenewalOutcome.Gone gone -> {
@@ -274,7 +279,7 @@
       return;
     }
     long now = clock.steadyMilliseconds();
-    scheduler.onLeaseSent(worker.key(), now);
+    scheduler.onStartSent(worker.key(), now);
     client
         .start(
             worker,
--- a/node/src/test/java/org/flamingochute/node/leadership/WorkerSessionTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/WorkerSessionTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -52,6 +53,8 @@
   /** Time after a response within which its connection becomes idle. */
   private static final long RELEASE_MILLISECONDS = 200;
 
+  private static final long SHORTEST_RETRY_DELAY_MILLISECONDS = 50;
+
   private static final WorkerKey FORMER = new WorkerKey(new InstanceId("w"), 1);
   private static final WorkerKey SUCCESSOR = new WorkerKey(new InstanceId("w"), 2);
   private static final TaskId TASK = new TaskId(new JobId("00000000000000aa"), 0, 0, 0);
@@ -212,6 +215,17 @@
     return call;
   }
 
+  /** Answers calls with the status of a worker until one grants a lease; returns that one. */
+  private Call nextGrant(WorkerKey key) throws Exception {
+    while (true) {
+      Call call = nextCall();
+      if (call.grantsLease()) {
+        return call;
+      }
+      call.respond(status(key, ""));
+    }
+  }
+
   private static String status(WorkerKey key, String finished) {
     return "{\"clock_ms\":1000,\"born\":%d,\"running\":[],\"finished\":[%s]}"
         .formatted(key.startedMilliseconds(), finished);
@@ -341,9 +355,7 @@
   @Test
   void leaseIsNotGrantedByAnOldReadingOfTheWorkersClock() throws Exception {
     final WorkerSession session = startSession(FORMER);
-    nextCall().respond(status(FORMER, ""));
-    final Call longPoll = nextCall();
-    assertThat(longPoll.grantsLease(), is(true));
+    final Call longPoll = nextGrant(FORMER);
     canRenewLeases = false;
     longPoll.respond(status(FORMER, ""));
     Thread.sleep(RELEASE_MILLISECONDS);
@@ -357,7 +369,7 @@
     Call afterOutage = nextCall();
     assertThat(afterOutage.body(), afterOutage.grantsLease(), is(false));
     afterOutage.respond(status(FORMER, ""));
-    assertThat(nextCall().grantsLease(), is(true));
+    nextGrant(FORMER).close();
   }
 
   private boolean isStart(Call call) {
@@ -400,10 +412,7 @@
   @Test
   void renewalWithoutResponseIsNotRepeatedOnNewConnection() throws Exception {
     startSession(FORMER);
-    nextCall().respond(status(FORMER, ""));
-    Call renewal = nextCall();
-    assertThat(renewal.grantsLease(), is(true));
-    renewal.close();
+    nextGrant(FORMER).close();
     Call next = nextCall();
     assertThat(next.body(), next.grantsLease(), is(false));
   }
@@ -481,4 +490,57 @@
     }
     assertThat(starts, empty());
   }
+
+  /** Answers status reads until as many starts have arrived as given; returns the starts. */
+  private List<Call> awaitStarts(int count) throws Exception {
+    List<Call> starts = new ArrayList<>();
+    while (starts.size() < count) {
+      Call call = nextCall();
+      if (isStart(call)) {
+        starts.add(call);
+      } else {
+        call.respond(status(FORMER, ""));
+      }
+    }
+    return starts;
+  }
+
+  /**
+   * Guards against needless releases: all idle connections of a worker were closed, and a start is
+   * given up although the worker responds.
+   */
+  @Test
+  void startIsSentAfterAllIdleConnectionsWereClosed() throws Exception {
+    WorkerSession session = startSession(FORMER);
+    nextCall().respond(status(FORMER, ""));
+    for (int attempt = 1; attempt <= IncarnationConnections.MAXIMUM_CONNECTIONS; attempt++) {
+      requestStart(session, attempt);
+    }
+    for (Call start : awaitStarts(IncarnationConnections.MAXIMUM_CONNECTIONS)) {
+      start.respondAndClose("{\"clock_ms\":1000}");
+    }
+    Thread.sleep(RELEASE_MILLISECONDS);
+    requestStart(session, IncarnationConnections.MAXIMUM_CONNECTIONS + 1);
+    awaitStarts(1).getFirst().respond("{\"clock_ms\":1000}");
+  }
+
+  /**
+   * Guards against calls without a pause: a worker closes the connection after each response, so
+   * that no renewal can be sent on it.
+   */
+  @Test
+  void statusIsNotReadWithoutDelayWhileConnectionsAreClosed() throws Exception {
+    startSession(FORMER);
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(1);
+    int count = 0;
+    while (System.nanoTime() < end) {
+      Call call = calls.poll(SHORTEST_RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
+      if (call != null) {
+        count++;
+        call.respondAndClose(status(FORMER, ""));
+      }
+    }
+    int most = (int) (TimeUnit.SECONDS.toMillis(1) / SHORTEST_RETRY_DELAY_MILLISECONDS) + 1;
+    assertThat(count, lessThanOrEqualTo(most));
+  }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -243,11 +243,16 @@
     return workerTracker.isUnreachable(key);
   }
 
-  /** Records that a lease renewal, or a start command that carries a deadline, was sent. */
+  /** Records that a lease renewal with a deadline was sent. */
   public void onLeaseSent(WorkerKey key, long now) {
     workerTracker.onLeaseSent(key, now);
   }
 
+  /** Records that a start was sent, whose deadline extends the lease. */
+  public void onStartSent(WorkerKey key, long now) {
+    workerTracker.onStartSent(key, now);
+  }
+
   /**
    * Applies a worker's response to a lease renewal.
    *
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
@@ -40,8 +40,8 @@
   /** Time at which all its tasks have certainly ended, unless the lease is renewed. */
   long leaseExpiresAt;
 
-  /** Time at which the last call with a deadline was sent to this incarnation. */
-  long deadlineSentAt = NEVER;
+  /** Time at which the last renewal with a deadline was sent to this incarnation. */
+  long renewalSentAt = NEVER;
 
   /** Time at which the newest status arrived. */
   long statusReceivedAt = NEVER;
@@ -63,9 +63,14 @@
     this.leaseExpiresAt = leaseExpiresAt;
   }
 
-  void onDeadlineSent(long now, long leaseExpiryMilliseconds) {
-    deadlineSentAt = now;
-    leaseExpiresAt = Math.max(leaseExpiresAt, now + leaseExpiryMilliseconds);
+  void onRenewalSent(long now, long leaseExpiryMilliseconds) {
+    renewalSentAt = now;
+    extendLease(now + leaseExpiryMilliseconds);
+  }
+
+  /** Counts the lease as in force until the given time at least. */
+  void extendLease(long expiresAt) {
+    leaseExpiresAt = Math.max(leaseExpiresAt, expiresAt);
   }
 
   void add(Task task) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
@@ -116,8 +116,9 @@
   /**
    * Handles a response from another incarnation of a worker, which may not be listed yet.
    *
-   * <p>If the call carried a deadline it should not have reached that incarnation, which may have
-   * taken the deadline for one on its own clock: then the longest lease is counted.
+   * <p>A renewal with a deadline should not have reached that incarnation, which may have taken the
+   * deadline for one on its own clock: then the longest lease is counted. One renewal or read of
+   * the status is under way at a time, so the call was a renewal if none was sent after it.
    *
    * @param startedMilliseconds start time of the incarnation that responded
    * @param sentAt time at which the call was sent
@@ -126,7 +127,7 @@
   Worker onIncarnationObserved(Worker worker, long startedMilliseconds, long sentAt, long now) {
     WorkerKey key = new WorkerKey(worker.key.id(), startedMilliseconds);
     Worker observed = replaceIncarnation(worker, worker.report.ofIncarnation(key), false, now);
-    if (worker.deadlineSentAt >= sentAt) {
+    if (worker.renewalSentAt >= sentAt) {
       extendLeaseToLongest(observed, now);
     }
     return observed;
@@ -159,8 +160,7 @@
   }
 
   private void extendLeaseToLongest(Worker worker, long now) {
-    worker.leaseExpiresAt =
-        Math.max(worker.leaseExpiresAt, now + settings.longestLeaseExpiryMilliseconds());
+    worker.extendLease(now + settings.longestLeaseExpiryMilliseconds());
   }
 
   /** Marks a worker as no longer listed in the store. */
@@ -204,11 +204,18 @@
     return workers.find(key).map(worker -> worker.unreachable).orElse(true);
   }
 
-  /** Records that a lease renewal, or a start command that carries a deadline, was sent. */
+  /** Records that a lease renewal with a deadline was sent. */
   void onLeaseSent(WorkerKey key, long now) {
     workers
         .find(key)
-        .ifPresent(worker -> worker.onDeadlineSent(now, settings.leaseExpiryMilliseconds()));
+        .ifPresent(worker -> worker.onRenewalSent(now, settings.leaseExpiryMilliseconds()));
+  }
+
+  /** Records that a start was sent, whose deadline extends the lease. */
+  void onStartSent(WorkerKey key, long now) {
+    workers
+        .find(key)
+        .ifPresent(worker -> worker.extendLease(now + settings.leaseExpiryMilliseconds()));
   }
 
   /**
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/LaterIncarnationTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/LaterIncarnationTest.java
@@ -161,4 +161,15 @@
     long expected = longest ? sentAt + 10 + settings.longestLeaseExpiryMilliseconds() : usual;
     assertThat(workers.find(LATER).orElseThrow().leaseExpiresAt, is(expected));
   }
+
+  // Guards against waits for the longest lease because a start was sent while a status was read.
+  @Test
+  void startBesideReadOfStatusIsNoEvidenceOfLongestLease() {
+    workerTracker.onStartSent(FORMER, 40);
+    receiveStatus(FORMER, LATER.startedMilliseconds(), 30);
+
+    assertThat(
+        workers.find(LATER).orElseThrow().leaseExpiresAt,
+        is(40 + settings.leaseExpiryMilliseconds()));
+  }
 }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedLeader.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedLeader.java
@@ -151,7 +151,7 @@
       return;
     }
     WorkerKey key = start.worker();
-    scheduler.onLeaseSent(key, now);
+    scheduler.onStartSent(key, now);
     execution.beforeStart(key.id());
     long sentAt = now;
     network.<StartOutcome>callIncarnation(
