--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
@@ -335,8 +335,11 @@
 
   private Optional<ConnectionId> connectionOf(LeaseRenewalOutcome result) {
     return switch (result) {
-      case LeaseRenewalOutcome.Renewed renewed when renewed.status().isOf(worker.key()) ->
-          Optional.of(renewed.connection());
+      case LeaseRenewalOutcome.Renewed renewed when renewed.status().isOf(worker.key()) -> {
+        // A deadline on this connection must be on the clock of the process at its other end.
+        workerClock.observe(renewed.status().clockMilliseconds(), clock.steadyMilliseconds());
+        yield Optional.of(renewed.connection());
+      }
       case LeaseRenewalOutcome.Fenced fenced -> {
         leadership.onFenced("worker " + worker.key());
         yield Optional.empty();
