Cut restarted workers off in the fault soak, beside hand-overs

Cause: the soak restarted workers under their ids, but a cut soon after the restart, with a hand-over between them and tasks that outlast the longest lease, came about only by chance; and its cuts ended before the longest lease.

Change: a new kind of fault restarts workers, cuts them off 0.2 to 4 s later for 5 to 16 s and stops, kills or freezes the leader near it, all drawn from the seed. The address of a worker that is down refuses, or lets requests of connections that no server has served wait for the next incarnation. Late calls are carried out 2 to 12 s late, as orders, as renewals or both. Clocks are up to 2 % slow. Three quarters of the seeds run series of such restarts, with tasks of 11 to 16 s.

--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/FaultProxy.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/FaultProxy.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -11,12 +12,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
 /**
  * A loopback proxy in front of one server. It forwards requests one at a time for each connection,
  * and treats each as the current rule says. While it is closed, connections to its port are refused
- * by the system.
+ * by the system. While it is suspended, requests on connections that no server has served wait for
+ * the next server.
  */
 final class FaultProxy implements AutoCloseable {
   /** Header that marks a request that was delivered after its sender had given up. */
@@ -30,10 +33,12 @@
       "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
           .getBytes(StandardCharsets.ISO_8859_1);
 
-  private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+  private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
   private final int port;
   private volatile ServerSocket listener;
+  private final AtomicInteger cuts = new AtomicInteger();
   private Socket placeholder;
+  private boolean isSuspended;
   private volatile InetSocketAddress server;
   private volatile Function<HttpMessage, Treatment> rule = request -> new Treatment.Forward(0);
 
@@ -60,11 +65,27 @@
     /**
      * Never responds, and delivers the request after a delay.
      *
-     * @param onlyThisServer whether the request is dropped if the server has been replaced since
+     * @param onlyThisServer whether the request is dropped if the server has been replaced since;
+     *     it always is if this server has served the connection before
      */
     record DeliverLate(long delayMilliseconds, boolean onlyThisServer) implements Treatment {}
   }
 
+  /** A connection of a client. */
+  private static final class Connection {
+    private final Socket client;
+
+    /** Whether a server has received a request on it, so that it ends with that server. */
+    private volatile boolean isServed;
+
+    /** Whether it stays open without a response for good. */
+    private volatile boolean isSilent;
+
+    private Connection(Socket client) {
+      this.client = client;
+    }
+  }
+
   FaultProxy(String serverAddress) throws IOException {
     setServer(serverAddress);
     listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
@@ -97,15 +118,46 @@
       return;
     }
     listener.close();
-    connections.forEach(FaultProxy::reset);
-    connections.clear();
+    resetAll();
     // A socket that is bound but does not listen keeps the port from other processes.
     placeholder = new Socket();
     placeholder.setReuseAddress(true);
     bind(() -> placeholder.bind(address()));
   }
 
+  /**
+   * Ends the connections that the server has served, by a reset or by silence, and lets requests on
+   * the others and on new ones wait for the next server, until {@link #reopen}.
+   */
+  synchronized void suspend(boolean endsSilently) {
+    isSuspended = true;
+    for (Connection connection : connections) {
+      if (connection.isServed && endsSilently) {
+        connection.isSilent = true;
+      } else if (connection.isServed) {
+        reset(connection.client);
+      }
+    }
+  }
+
+  private synchronized void awaitServer() throws InterruptedException {
+    while (isSuspended) {
+      wait();
+    }
+  }
+
+  /** Lets nothing through in either direction until {@link #mend}; cuts may overlap. */
+  void cut() {
+    cuts.incrementAndGet();
+  }
+
+  void mend() {
+    cuts.decrementAndGet();
+  }
+
   synchronized void reopen() throws IOException, InterruptedException {
+    isSuspended = false;
+    notifyAll();
     if (!listener.isClosed()) {
       return;
     }
@@ -147,8 +199,9 @@
             try {
               Socket client = openListener.accept();
               client.setTcpNoDelay(true);
-              connections.add(client);
-              Thread.startVirtualThread(() -> serve(client));
+              Connection connection = new Connection(client);
+              connections.add(connection);
+              Thread.startVirtualThread(() -> serve(connection));
             } catch (IOException e) {
               // The listener was closed, or the peer has reset the connection before it was served.
               continue;
@@ -157,32 +210,48 @@
         });
   }
 
-  private void serve(Socket client) {
-    try (client) {
+  private void serve(Connection connection) {
+    try (Socket client = connection.client) {
       InputStream input = new BufferedInputStream(client.getInputStream());
       try (Upstream upstream = new Upstream()) {
         HttpMessage request = HttpMessage.read(input);
-        while (request != null && treat(request, client, upstream)) {
+        while (request != null && treat(request, connection, upstream)) {
           request = HttpMessage.read(input);
         }
+      } catch (IOException e) {
+        // One of both sides is gone: the other one sees a reset connection, or nothing.
+        endConnection(connection, input);
       }
     } catch (IOException e) {
-      // One of both sides is gone: the other one sees a reset connection.
-      reset(client);
+      reset(connection.client);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
-      connections.remove(client);
+      connections.remove(connection);
+    }
+  }
+
+  private static void endConnection(Connection connection, InputStream input) throws IOException {
+    if (!connection.isSilent) {
+      reset(connection.client);
+      return;
     }
+    input.transferTo(OutputStream.nullOutputStream());
   }
 
   /** Returns whether the connection remains open. */
-  private boolean treat(HttpMessage request, Socket client, Upstream upstream)
+  private boolean treat(HttpMessage request, Connection connection, Upstream upstream)
       throws IOException, InterruptedException {
-    switch (rule.apply(request)) {
+    if (!connection.isSilent) {
+      awaitServer();
+    }
+    Socket client = connection.client;
+    Treatment treatment =
+        connection.isSilent || cuts.get() > 0 ? new Treatment.Silence() : rule.apply(request);
+    switch (treatment) {
       case Treatment.Forward forward -> {
         Thread.sleep(forward.delayMilliseconds());
-        upstream.exchange(request).write(client.getOutputStream());
+        respond(upstream.exchange(request, connection), connection);
         return true;
       }
       case Treatment.Reset reset -> {
@@ -190,12 +259,12 @@
         return false;
       }
       case Treatment.LoseAnswer loseAnswer -> {
-        upstream.exchange(request);
+        upstream.exchange(request, connection);
         reset(client);
         return false;
       }
       case Treatment.SilenceAnswer silenceAnswer -> {
-        upstream.exchange(request);
+        upstream.exchange(request, connection);
         return true;
       }
       case Treatment.Silence silence -> {
@@ -207,21 +276,33 @@
       }
       case Treatment.DeliverLate late -> {
         InetSocketAddress intendedServer = server;
-        Thread.startVirtualThread(() -> deliverLate(request, late, intendedServer));
+        boolean onlyThisServer = late.onlyThisServer() || connection.isServed;
+        Thread.startVirtualThread(
+            () -> deliverLate(request, late.delayMilliseconds(), onlyThisServer, intendedServer));
         return true;
       }
     }
   }
 
+  private void respond(HttpMessage response, Connection connection) throws IOException {
+    if (!connection.isSilent && cuts.get() == 0) {
+      response.write(connection.client.getOutputStream());
+    }
+  }
+
   private void deliverLate(
-      HttpMessage request, Treatment.DeliverLate late, InetSocketAddress intendedServer) {
+      HttpMessage request,
+      long delayMilliseconds,
+      boolean onlyThisServer,
+      InetSocketAddress intendedServer) {
     try {
-      Thread.sleep(late.delayMilliseconds());
-      if (late.onlyThisServer() && !server.equals(intendedServer)) {
+      Thread.sleep(delayMilliseconds);
+      awaitServer();
+      if (onlyThisServer && !server.equals(intendedServer)) {
         return;
       }
       try (Upstream upstream = new Upstream()) {
-        upstream.exchange(request.withHeader(LATE_HEADER + ": 1"));
+        upstream.exchange(request.withHeader(LATE_HEADER + ": 1"), new Connection(new Socket()));
       }
     } catch (IOException e) {
       // The server is gone: the request is lost on its way.
@@ -231,6 +312,11 @@
     }
   }
 
+  private void resetAll() {
+    connections.forEach(connection -> reset(connection.client));
+    connections.clear();
+  }
+
   private static void reset(Socket socket) {
     try {
       socket.setSoLinger(true, 0);
@@ -244,7 +330,7 @@
   @Override
   public synchronized void close() throws IOException {
     listener.close();
-    connections.forEach(FaultProxy::reset);
+    resetAll();
     if (placeholder != null) {
       placeholder.close();
     }
@@ -255,8 +341,9 @@
     private Socket socket;
     private InputStream input;
 
-    HttpMessage exchange(HttpMessage request) throws IOException {
+    HttpMessage exchange(HttpMessage request, Connection connection) throws IOException {
       if (socket == null) {
+        connection.isServed = true;
         socket = new Socket();
         socket.connect(server, CONNECT_TIMEOUT_MILLISECONDS);
         socket.setTcpNoDelay(true);
--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/FaultSeries.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/FaultSeries.java
@@ -12,7 +12,9 @@
 final class FaultSeries {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long STOP_GRACE_SECONDS = 8;
-  private static final long MAXIMUM_LATE_MILLISECONDS = 5_000;
+  private static final long MAXIMUM_LATE_APPEND_MILLISECONDS = 5_000;
+  private static final long MINIMUM_LATE_CALL_MILLISECONDS = 2_000;
+  private static final long MAXIMUM_LATE_CALL_MILLISECONDS = 12_000;
   private static final long MAXIMUM_DELAY_MILLISECONDS = 1_500;
   private static final long MAXIMUM_TRANSIT_MILLISECONDS = 2_500;
   private static final long MAXIMUM_PRELUDE_MILLISECONDS = 1_000;
@@ -92,15 +94,14 @@
               List.of(nodeOf(fault)),
               request -> new FaultProxy.Treatment.SilenceAnswer(),
               fault.durationMilliseconds());
-      case NODE_KILLED -> restart(nodeOf(fault), fault, SoakProcess::kill);
+      case NODE_KILLED ->
+          restart(nodeOf(fault), fault.durationMilliseconds() / 2, SoakProcess::kill);
       case NODE_STOPPED ->
-          restart(nodeOf(fault), fault, process -> process.stop(STOP_GRACE_SECONDS));
-      case NODE_FROZEN -> {
-        SoakProcess process = nodeOf(fault).process();
-        process.signal("STOP");
-        Thread.sleep(2 * fault.durationMilliseconds());
-        process.signal("CONT");
-      }
+          restart(
+              nodeOf(fault),
+              fault.durationMilliseconds() / 2,
+              process -> process.stop(STOP_GRACE_SECONDS));
+      case NODE_FROZEN -> freeze(nodeOf(fault), 2 * fault.durationMilliseconds());
       case WORKER_KILLED -> {
         for (WorkerHost worker : workersOf(fault)) {
           worker.kill();
@@ -118,7 +119,7 @@
         }
       }
       case WORKER_STARTED_AGAIN -> {
-        setRule(fault, lateCalls("/run-", false, MAXIMUM_TRANSIT_MILLISECONDS));
+        setRule(fault, lateCalls("/run-", false, 0, MAXIMUM_TRANSIT_MILLISECONDS));
         Thread.sleep(prelude(fault));
         for (WorkerHost worker : workersOf(fault)) {
           worker.kill();
@@ -132,7 +133,8 @@
         refuse(fault, workersOf(fault).stream().map(WorkerHost::proxy).toList());
         workersOf(fault).forEach(worker -> worker.proxy().clearRule());
       }
-      case WORKER_LATE -> withWorkerRule(fault, lateCalls("", true, MAXIMUM_LATE_MILLISECONDS));
+      case WORKER_LATE -> withWorkerRule(fault, lateCalls(fault.plan().lateCalls()));
+      case WORKER_RESTARTED_AND_CUT -> restartAndCut(fault);
       case WORKER_LOSES_ANSWERS -> withWorkerRule(fault, lossOfAnswers(fault));
       case WORKER_SILENT -> withWorkerRule(fault, request -> new FaultProxy.Treatment.Silence());
       case WORKER_SLOW -> withWorkerRule(fault, FaultSeries::delayed);
@@ -140,11 +142,63 @@
     }
   }
 
+  private void restartAndCut(SoakFault fault) throws IOException, InterruptedException {
+    RestartPlan plan = fault.plan();
+    final Thread handOver = Thread.startVirtualThread(() -> handOver(plan));
+    Thread.sleep(Math.max(0, -plan.handOverDelay()));
+    if (plan.lateCalls() != RestartPlan.LateCalls.NONE) {
+      setRule(fault, sometimes(fault, lateCalls(plan.lateCalls())));
+    }
+    for (WorkerHost worker : workersOf(fault)) {
+      worker.kill(plan.gap());
+    }
+    Thread.sleep(plan.downtime());
+    startIfDead(workersOf(fault));
+    Thread.sleep(Math.max(0, plan.cutDelay() - plan.oneWay()));
+    setRule(fault, request -> new FaultProxy.Treatment.SilenceAnswer());
+    Thread.sleep(plan.oneWay());
+    workersOf(fault).forEach(worker -> worker.cut(plan.isCutFromStore()));
+    workersOf(fault).forEach(worker -> worker.proxy().clearRule());
+    Thread.sleep(plan.cutDuration());
+    workersOf(fault).forEach(WorkerHost::mend);
+    handOver.join();
+  }
+
+  private void handOver(RestartPlan plan) {
+    try {
+      Thread.sleep(Math.max(0, plan.handOverDelay()));
+      SoakNode leader = leaderOr(nodes.get(0));
+      switch (plan.handOver()) {
+        case NONE -> {}
+        case STOPPED ->
+            restart(leader, plan.handOverDuration(), process -> process.stop(STOP_GRACE_SECONDS));
+        case KILLED -> restart(leader, plan.handOverDuration(), SoakProcess::kill);
+        case FROZEN -> freeze(leader, plan.handOverDuration());
+        default -> throw new IllegalStateException("unknown hand-over " + plan);
+      }
+    } catch (IOException e) {
+      failures.add(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void freeze(SoakNode node, long milliseconds)
+      throws IOException, InterruptedException {
+    SoakProcess process = node.process();
+    process.signal("STOP");
+    Thread.sleep(milliseconds);
+    process.signal("CONT");
+  }
+
   private SoakNode nodeOf(SoakFault fault) throws IOException {
     SoakNode target = nodes.get(fault.target());
-    if (fault.width() == 1) {
-      return target;
-    }
+    return fault.width() == 1 ? target : leaderOr(target);
+  }
+
+  /** Returns the node that took the leadership last; another one if none has. */
+  private SoakNode leaderOr(SoakNode other) throws IOException {
+    SoakNode target = other;
     String latest = "";
     for (SoakNode node : nodes) {
       String leadership = node.lastLeadership();
@@ -174,11 +228,11 @@
     void end(SoakProcess process) throws IOException, InterruptedException;
   }
 
-  private static void restart(SoakNode node, SoakFault fault, Ending ending)
+  private static void restart(SoakNode node, long milliseconds, Ending ending)
       throws IOException, InterruptedException {
     synchronized (node) {
       ending.end(node.process());
-      Thread.sleep(fault.durationMilliseconds() / 2);
+      Thread.sleep(milliseconds);
       node.start();
       node.awaitListening();
     }
@@ -253,16 +307,27 @@
   private static FaultProxy.Treatment lateAppend(HttpMessage request) {
     return request.firstLine().contains("/log-append")
         ? new FaultProxy.Treatment.DeliverLate(
-            ThreadLocalRandom.current().nextLong(MAXIMUM_LATE_MILLISECONDS), true)
+            ThreadLocalRandom.current().nextLong(MAXIMUM_LATE_APPEND_MILLISECONDS), true)
         : new FaultProxy.Treatment.Forward(0);
   }
 
+  /** Calls that a worker leaves unanswered and carries out later, while it lives. */
+  private static Function<HttpMessage, FaultProxy.Treatment> lateCalls(
+      RestartPlan.LateCalls calls) {
+    return lateCalls(
+        calls == RestartPlan.LateCalls.NONE ? "" : calls.path(),
+        true,
+        MINIMUM_LATE_CALL_MILLISECONDS,
+        MAXIMUM_LATE_CALL_MILLISECONDS);
+  }
+
   private static Function<HttpMessage, FaultProxy.Treatment> lateCalls(
-      String path, boolean onlyThisStart, long maximumMilliseconds) {
+      String path, boolean onlyThisStart, long minimumMilliseconds, long maximumMilliseconds) {
     return request ->
         request.firstLine().contains(path)
             ? new FaultProxy.Treatment.DeliverLate(
-                ThreadLocalRandom.current().nextLong(maximumMilliseconds), onlyThisStart)
+                ThreadLocalRandom.current().nextLong(minimumMilliseconds, maximumMilliseconds),
+                onlyThisStart)
             : new FaultProxy.Treatment.Forward(0);
   }
 
--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/FaultSoakTest.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/FaultSoakTest.java
@@ -37,6 +37,16 @@
     assertThat(findings, empty());
   }
 
+  /** Guards against two runs of a task after a worker has started again and was cut off soon. */
+  @ParameterizedTest(name = "seed {0} of restarts")
+  @ValueSource(longs = {1})
+  void shortSeriesOfRestartsKeepsTheRules(long seed) throws Exception {
+    NodeProgram program = NodeProgram.ofClassPath(temporaryFolder);
+    List<Finding> findings =
+        SoakRun.run(program, temporaryFolder, seed, SoakRun.SoakSize.SHORT_RESTARTS);
+    assertThat(findings, empty());
+  }
+
   @ParameterizedTest(name = "seed {0} of the deployed program")
   @EnabledIfSystemProperty(named = "soak.program", matches = ".+")
   @MethodSource("seeds")
@@ -45,9 +55,10 @@
     NodeProgram program = NodeProgram.deployed(Path.of(System.getProperty("soak.program")));
     List<Finding> findings =
         SoakRun.run(program, folder.resolve("seed-" + seed), seed, SoakRun.SoakSize.STANDARD);
+    String counts = Files.readAllLines(folder.resolve("seed-" + seed).resolve("report.txt")).get(0);
     Files.writeString(
         folder.resolve("summary.txt"),
-        "seed=" + seed + " findings=" + countsByRule(findings) + "\n",
+        "seed=%d findings=%s %s%n".formatted(seed, countsByRule(findings), counts),
         StandardOpenOption.CREATE,
         StandardOpenOption.APPEND);
     assertThat(findings, empty());
--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakCallers.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakCallers.java
@@ -29,14 +29,21 @@
   private static final double LONG_WORK_SHARE = 0.2;
   private static final double TWO_STEPS_SHARE = 0.3;
 
+  /** Processors of a task that outlasts the longest lease: few, so that all workers have some. */
+  private static final long LASTING_MILLICORES = 100;
+
+  /** Share of the jobs whose tasks outlast the longest lease. */
+  private final double lastingShare;
+
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(TIMEOUT).build();
   private final List<SoakNode> nodes;
   private final List<JobStory> stories = new CopyOnWriteArrayList<>();
   private final List<Thread> threads = new ArrayList<>();
 
-  SoakCallers(List<SoakNode> nodes) {
+  SoakCallers(List<SoakNode> nodes, double lastingShare) {
     this.nodes = nodes;
+    this.lastingShare = lastingShare;
   }
 
   List<JobStory> stories() {
@@ -67,19 +74,22 @@
     }
   }
 
-  private static JobStory drawStory(UniformRandomProvider random) {
+  private JobStory drawStory(UniformRandomProvider random) {
     String job = "%016x".formatted(random.nextLong());
     boolean isCancelled = random.nextDouble() < CANCEL_SHARE;
+    boolean isLasting = !isCancelled && random.nextDouble() < lastingShare;
     SoakSpec spec =
         new SoakSpec(
-            isCancelled ? CANCELLED_WORK_MILLISECONDS : drawWork(random),
-            random.nextInt(100, 900),
-            random.nextInt(4) == 0 ? 1 : 0,
+            isCancelled
+                ? CANCELLED_WORK_MILLISECONDS
+                : isLasting ? random.nextInt(11_000, 16_000) : drawWork(random),
+            isLasting ? LASTING_MILLICORES : random.nextInt(100, 900),
+            !isLasting && random.nextInt(4) == 0 ? 1 : 0,
             random.nextBoolean(),
             job);
     List<Integer> steps = new ArrayList<>();
     steps.add(random.nextInt(1, 4));
-    if (random.nextDouble() < TWO_STEPS_SHARE) {
+    if (!isLasting && random.nextDouble() < TWO_STEPS_SHARE) {
       steps.add(random.nextInt(1, 3));
     }
     return new JobStory(job, random.nextInt(3) == 0 ? "/rush/" : "/orders/", spec, steps);
--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakFault.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakFault.java
@@ -17,6 +17,7 @@
  * @param width number of affected workers, from the target on; for a node, whether the leader is
  *     the target: if it is above 1
  * @param strength share of the affected calls, between 0 and 1
+ * @param plan details of a restart that is followed by a cut; unused for other kinds
  */
 record SoakFault(
     long atMilliseconds,
@@ -24,9 +25,13 @@
     Kind kind,
     int target,
     int width,
-    double strength) {
+    double strength,
+    RestartPlan plan) {
 
   private static final int MAXIMUM_WIDTH = 3;
+  private static final int MAXIMUM_RESTART_WIDTH = 2;
+  private static final long MINIMUM_RESTART_INTERVAL_MILLISECONDS = 1_500;
+  private static final long MAXIMUM_RESTART_INTERVAL_MILLISECONDS = 4_500;
 
   /** What happens. */
   enum Kind {
@@ -51,6 +56,8 @@
     WORKER_FROZEN(3),
     /** Calls get no response and are carried out late, by this incarnation only. */
     WORKER_LATE(5),
+    /** The worker starts again and is cut off soon after, with a hand-over near it. */
+    WORKER_RESTARTED_AND_CUT(5),
     /** The worker starts again within a second, and orders on their way reach the new start. */
     WORKER_STARTED_AGAIN(6),
     WORKER_LOSES_ANSWERS(4),
@@ -88,7 +95,33 @@
               kind,
               random.nextInt(kind.isOfWorkers() ? workers : nodes),
               random.nextInt(1, MAXIMUM_WIDTH + 1),
-              0.2 + 0.8 * random.nextDouble()));
+              0.2 + 0.8 * random.nextDouble(),
+              RestartPlan.draw(random)));
+    }
+    faults.sort(Comparator.comparingLong(SoakFault::atMilliseconds));
+    return faults;
+  }
+
+  /**
+   * Draws restarts that are followed by cuts, in series, so that they overlap, beside other faults.
+   */
+  static List<SoakFault> drawRestarts(
+      UniformRandomProvider random, int otherCount, long duration, int nodes, int workers) {
+    List<SoakFault> faults = draw(random, otherCount, duration, nodes, workers);
+    long at = random.nextLong(MINIMUM_RESTART_INTERVAL_MILLISECONDS);
+    while (at < duration) {
+      faults.add(
+          new SoakFault(
+              at,
+              0,
+              Kind.WORKER_RESTARTED_AND_CUT,
+              random.nextInt(workers),
+              random.nextInt(1, MAXIMUM_RESTART_WIDTH + 1),
+              0.2 + 0.8 * random.nextDouble(),
+              RestartPlan.draw(random)));
+      at +=
+          random.nextLong(
+              MINIMUM_RESTART_INTERVAL_MILLISECONDS, MAXIMUM_RESTART_INTERVAL_MILLISECONDS);
     }
     faults.sort(Comparator.comparingLong(SoakFault::atMilliseconds));
     return faults;
--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakJudge.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakJudge.java
@@ -59,6 +59,13 @@
     return List.copyOf(findings);
   }
 
+  /** Returns the number of tasks that have ended {@code done}. */
+  long doneTasks() {
+    return runsByTask.values().stream()
+        .filter(runs -> runs.stream().anyMatch(run -> run.how().equals(DONE)))
+        .count();
+  }
+
   private void report(String rule, String job, String detail) {
     findings.add(new Finding(rule, job, detail));
   }
--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakRun.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakRun.java
@@ -25,6 +25,12 @@
   private static final long SETTLE_MILLISECONDS = 2_000;
   private static final long CALM_MILLISECONDS = 8_000;
   private static final double JOBS_PER_SECOND = 12;
+  private static final double JOBS_PER_SECOND_BESIDE_RESTARTS = 6;
+
+  /** Beside restarts that are followed by cuts, there are this many times fewer other faults. */
+  private static final int OTHER_FAULTS_DIVISOR = 6;
+
+  private static final double LASTING_SHARE_BESIDE_RESTARTS = 0.4;
   private static final String DECLARATION =
       """
       {"version":1,"routes":[
@@ -49,7 +55,8 @@
    *
    * @param nodes number of nodes
    * @param workers number of workers
-   * @param faults number of faults
+   * @param faults number of faults, beside restarts that are followed by cuts
+   * @param restartShare share of the seeds whose series consist of such restarts above all
    * @param faultMilliseconds time within which the faults begin
    * @param endTimeoutMilliseconds time after the faults within which accepted jobs must end
    * @param bounds whether the bounds of the rules are judged, which a busy machine may exceed
@@ -58,14 +65,18 @@
       int nodes,
       int workers,
       int faults,
+      double restartShare,
       long faultMilliseconds,
       long endTimeoutMilliseconds,
       boolean bounds) {
     /** Size of the runs by hand. */
-    public static final SoakSize STANDARD = new SoakSize(5, 8, 30, 25_000, 60_000, true);
+    public static final SoakSize STANDARD = new SoakSize(5, 8, 30, 0.75, 25_000, 60_000, true);
 
     /** Size of the runs in continuous integration. */
-    static final SoakSize SHORT = new SoakSize(3, 4, 12, 8_000, 300_000, false);
+    static final SoakSize SHORT = new SoakSize(3, 4, 12, 0, 8_000, 300_000, false);
+
+    /** Size of the runs with restarts and cuts in continuous integration. */
+    static final SoakSize SHORT_RESTARTS = new SoakSize(3, 4, 0, 1, 4_000, 300_000, false);
   }
 
   private SoakRun(NodeProgram program, Path folder, long seed, SoakSize size) throws Exception {
@@ -109,8 +120,9 @@
       node.awaitListening();
     }
     Thread.sleep(SETTLE_MILLISECONDS);
-    SoakCallers callers = new SoakCallers(nodes);
-    final long healedAt = disturb(callers);
+    boolean areRestarts = random.nextDouble() < size.restartShare();
+    SoakCallers callers = new SoakCallers(nodes, areRestarts ? LASTING_SHARE_BESIDE_RESTARTS : 0);
+    final long healedAt = disturb(callers, areRestarts);
     callers.awaitEnds(random, size.endTimeoutMilliseconds());
     // Cancelled jobs have this time for their runs to end.
     Thread.sleep(Math.max(0, healedAt + CALM_MILLISECONDS - System.currentTimeMillis()));
@@ -123,22 +135,34 @@
   }
 
   /** Runs the callers beside the faults; returns the time from which no fault is active. */
-  private long disturb(SoakCallers callers) throws IOException, InterruptedException {
-    List<SoakFault> faults =
-        SoakFault.draw(
-            random, size.faults(), size.faultMilliseconds(), size.nodes(), size.workers());
+  private long disturb(SoakCallers callers, boolean areRestarts)
+      throws IOException, InterruptedException {
+    List<SoakFault> faults = drawFaults(areRestarts);
+    double jobsPerSecond = areRestarts ? JOBS_PER_SECOND_BESIDE_RESTARTS : JOBS_PER_SECOND;
     Files.write(folder.resolve("faults.txt"), faults.stream().map(SoakFault::toString).toList());
     FaultSeries series = new FaultSeries(nodes, workers);
     UniformRandomProvider callerRandom = RandomSource.XO_SHI_RO_256_SS.create(random.nextLong());
     Thread callerThread =
         Thread.startVirtualThread(
-            () -> callers.run(callerRandom, size.faultMilliseconds(), JOBS_PER_SECOND));
+            () -> callers.run(callerRandom, size.faultMilliseconds(), jobsPerSecond));
     series.run(faults);
     callerThread.join();
     series.heal();
     return System.currentTimeMillis();
   }
 
+  private List<SoakFault> drawFaults(boolean areRestarts) {
+    return areRestarts
+        ? SoakFault.drawRestarts(
+            random,
+            size.faults() / OTHER_FAULTS_DIVISOR,
+            size.faultMilliseconds(),
+            size.nodes(),
+            size.workers())
+        : SoakFault.draw(
+            random, size.faults(), size.faultMilliseconds(), size.nodes(), size.workers());
+  }
+
   private void reportWorkers() {
     try {
       while (true) {
@@ -173,8 +197,14 @@
             stories, events, size.bounds() ? OptionalLong.of(healedAt) : OptionalLong.empty());
     StringBuilder report = new StringBuilder();
     report.append(
-        "healed=%d jobs=%d accepted=%d refused=%d starts=%d late_starts=%d%n"
+        ("answered=%d tasks_done=%d healed=%d jobs=%d accepted=%d refused=%d starts=%d"
+                + " late_starts=%d%n")
             .formatted(
+                stories.stream()
+                    .flatMap(story -> story.calls().stream())
+                    .filter(call -> call.status() > JobStory.NO_RESPONSE)
+                    .count(),
+                judge.doneTasks(),
                 healedAt,
                 stories.size(),
                 stories.stream().filter(JobStory::isAccepted).count(),
--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/WorkerHost.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/WorkerHost.java
@@ -28,7 +28,7 @@
   /** Workers have one of this many rates of their clocks, each slower than the one before. */
   private static final int SLOW_CLOCKS = 3;
 
-  private static final double SLOWNESS = 0.009;
+  private static final double SLOWNESS = 0.01;
   private static final long MEMORY_MEBIBYTES = 65_536;
   private static final long POLL_MILLISECONDS = 10;
   private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -45,6 +45,17 @@
   private String address;
   private FaultProxy proxy;
   private SoakProcess process;
+  private volatile boolean isCutFromStore;
+
+  /** What the address of a worker does between two incarnations. */
+  enum Gap {
+    /** Connections are reset and refused. */
+    REFUSES,
+    /** Served connections are reset; others wait for the next incarnation. */
+    WAITS,
+    /** Served connections stay without a response for good; others wait. */
+    WAITS_SILENTLY
+  }
 
   WorkerHost(int number, Path folder, PlatformServer platform) {
     this.id = "worker-" + number;
@@ -87,13 +98,34 @@
   }
 
   /** Kills the incarnation; connections to its address are refused until the next start. */
-  synchronized void kill() throws IOException, InterruptedException {
+  void kill() throws IOException, InterruptedException {
+    kill(Gap.REFUSES);
+  }
+
+  /** Kills the incarnation. */
+  synchronized void kill(Gap gap) throws IOException, InterruptedException {
     if (!process.isAlive()) {
       return;
     }
+    if (gap != Gap.REFUSES) {
+      proxy.suspend(gap == Gap.WAITS_SILENTLY);
+    }
     kills.add(killEvent());
     process.kill();
-    proxy.refuse();
+    if (gap == Gap.REFUSES) {
+      proxy.refuse();
+    }
+  }
+
+  /** Cuts the worker off from the nodes, and from the store if told so, until {@link #mend}. */
+  void cut(boolean alsoFromStore) {
+    isCutFromStore = alsoFromStore;
+    proxy.cut();
+  }
+
+  void mend() {
+    isCutFromStore = false;
+    proxy.mend();
   }
 
   private RunEvent killEvent() {
@@ -124,7 +156,7 @@
 
   /** Reports the worker if it responds; removes its entry after several silent reports. */
   void report() throws IOException, InterruptedException {
-    Optional<JsonNode> answer = fetchReport();
+    Optional<JsonNode> answer = isCutFromStore ? Optional.empty() : fetchReport();
     if (answer.isEmpty()) {
       silentReports++;
       if (silentReports == MAXIMUM_SILENT_REPORTS) {
