--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakRun.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakRun.java
@@ -12,6 +12,10 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.flamingochute.platform.standin.FleetSettings;
@@ -109,9 +113,7 @@
 
   private List<Finding> play() throws Exception {
     declare();
-    for (WorkerHost worker : workers) {
-      worker.start();
-    }
+    startWorkers();
     final Thread reports = Thread.startVirtualThread(this::reportWorkers);
     for (SoakNode node : nodes) {
       node.start();
@@ -134,6 +136,23 @@
     return judge(callers.stories(), healedAt);
   }
 
+  private void startWorkers() throws InterruptedException, ExecutionException {
+    List<Future<Void>> starts = new ArrayList<>();
+    try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+      for (WorkerHost worker : workers) {
+        starts.add(
+            executor.submit(
+                () -> {
+                  worker.start();
+                  return null;
+                }));
+      }
+    }
+    for (Future<Void> start : starts) {
+      start.get();
+    }
+  }
+
   /** Runs the callers beside the faults; returns the time from which no fault is active. */
   private long disturb(SoakCallers callers, boolean areRestarts)
       throws IOException, InterruptedException {
