--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/FaultSeries.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/FaultSeries.java
@@ -11,6 +11,10 @@
 /** Carries out the faults of a series, which may overlap, and ends all of them. */
 final class FaultSeries {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Time in which the process of a worker gets ready for its birth. */
+  private static final long PREPARATION_MILLISECONDS = 1_500;
+
   private static final long STOP_GRACE_SECONDS = 8;
   private static final long MAXIMUM_LATE_APPEND_MILLISECONDS = 5_000;
   private static final long MINIMUM_LATE_CALL_MILLISECONDS = 2_000;
@@ -144,6 +148,10 @@
 
   private void restartAndCut(SoakFault fault) throws IOException, InterruptedException {
     RestartPlan plan = fault.plan();
+    for (WorkerHost worker : workersOf(fault)) {
+      worker.prepare();
+    }
+    Thread.sleep(PREPARATION_MILLISECONDS);
     final Thread handOver = Thread.startVirtualThread(() -> handOver(plan));
     Thread.sleep(Math.max(0, -plan.handOverDelay()));
     if (plan.lateCalls() != RestartPlan.LateCalls.NONE) {
--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakProcess.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakProcess.java
@@ -47,6 +47,12 @@
     return command;
   }
 
+  /** Sends a line to the standard input of the process. */
+  void sendLine() throws IOException {
+    process.getOutputStream().write('\n');
+    process.getOutputStream().flush();
+  }
+
   Path log() {
     return log;
   }
