Send bursts of jobs in the fault soak, and reset idle connections alone

Jobs come in bursts of six beside restarts, lasting ones with two to six tasks; and while a call in progress stays silent, the idle connections may be reset, so that starts open new ones.

--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/FaultProxy.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/FaultProxy.java
@@ -78,6 +78,9 @@
     /** Whether a server has received a request on it, so that it ends with that server. */
     private volatile boolean isServed;
 
+    /** Whether a request was received and not answered. */
+    private volatile boolean hasCall;
+
     /** Whether it stays open without a response for good. */
     private volatile boolean isSilent;
 
@@ -128,10 +131,14 @@
   /**
    * Ends the connections that the server has served, by a reset or by silence, and lets requests on
    * the others and on new ones wait for the next server, until {@link #reopen}.
+   *
+   * @param callsEndSilently whether connections with a call in progress end by silence
+   * @param idleEndSilently whether the others do
    */
-  synchronized void suspend(boolean endsSilently) {
+  synchronized void suspend(boolean callsEndSilently, boolean idleEndSilently) {
     isSuspended = true;
     for (Connection connection : connections) {
+      boolean endsSilently = connection.hasCall ? callsEndSilently : idleEndSilently;
       if (connection.isServed && endsSilently) {
         connection.isSilent = true;
       } else if (connection.isServed) {
@@ -242,6 +249,7 @@
   /** Returns whether the connection remains open. */
   private boolean treat(HttpMessage request, Connection connection, Upstream upstream)
       throws IOException, InterruptedException {
+    connection.hasCall = true;
     if (!connection.isSilent) {
       awaitServer();
     }
@@ -286,6 +294,7 @@
 
   private void respond(HttpMessage response, Connection connection) throws IOException {
     if (!connection.isSilent && cuts.get() == 0) {
+      connection.hasCall = false;
       response.write(connection.client.getOutputStream());
     }
   }
--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakCallers.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakCallers.java
@@ -30,7 +30,13 @@
   private static final double TWO_STEPS_SHARE = 0.3;
 
   /** Processors of a task that outlasts the longest lease, in thousandths of a core. */
-  private static final long LASTING_MILLICORES = 200;
+  private static final long LASTING_MILLICORES = 120;
+
+  /**
+   * Jobs of a burst where tasks outlast the longest lease. Their starts need new connections, which
+   * may reach the next incarnation of a worker that is down.
+   */
+  private static final int BURST_JOBS = 6;
 
   /** Share of the jobs whose tasks outlast the longest lease. */
   private final double lastingShare;
@@ -67,7 +73,11 @@
       UniformRandomProvider ownRandom = RandomSource.XO_SHI_RO_256_SS.create(random.nextLong());
       stories.add(story);
       threads.add(Thread.startVirtualThread(() -> live(story, ownRandom)));
-      Thread.sleep(Math.round(-Math.log(1 - random.nextDouble()) * 1_000 / jobsPerSecond));
+      int burst = lastingShare > 0 ? BURST_JOBS : 1;
+      if (random.nextInt(burst) == 0) {
+        Thread.sleep(
+            Math.round(-Math.log(1 - random.nextDouble()) * 1_000 * burst / jobsPerSecond));
+      }
     }
     for (Thread thread : threads) {
       thread.join();
@@ -88,7 +98,7 @@
             random.nextBoolean(),
             job);
     List<Integer> steps = new ArrayList<>();
-    steps.add(random.nextInt(1, 4));
+    steps.add(isLasting ? random.nextInt(2, 7) : random.nextInt(1, 4));
     if (!isLasting && random.nextDouble() < TWO_STEPS_SHARE) {
       steps.add(random.nextInt(1, 3));
     }
--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/WorkerHost.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/WorkerHost.java
@@ -55,7 +55,9 @@
     /** Served connections are reset; others wait for the next incarnation. */
     WAITS,
     /** Served connections stay without a response for good; others wait. */
-    WAITS_SILENTLY
+    WAITS_SILENTLY,
+    /** Served connections with a call in progress stay without a response, idle ones are reset. */
+    RESETS_IDLE
   }
 
   WorkerHost(int number, Path folder, PlatformServer platform) {
@@ -124,7 +126,7 @@
       return;
     }
     if (gap != Gap.REFUSES) {
-      proxy.suspend(gap == Gap.WAITS_SILENTLY);
+      proxy.suspend(gap != Gap.WAITS, gap == Gap.WAITS_SILENTLY);
     }
     kills.add(killEvent());
     process.kill();
