--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/WorkerHost.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/WorkerHost.java
@@ -28,7 +28,7 @@
   /** Workers have one of this many rates of their clocks, each slower than the one before. */
   private static final int SLOW_CLOCKS = 3;
 
-  private static final double SLOWNESS = 0.009;
+  private static final double SLOWNESS = 0.01;
   private static final long MEMORY_MEBIBYTES = 65_536;
   private static final long POLL_MILLISECONDS = 10;
   private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -45,6 +45,20 @@
   private String address;
   private FaultProxy proxy;
   private SoakProcess process;
+  private SoakProcess next;
+  private volatile boolean isCutFromStore;
+
+  /** What the address of a worker does between two incarnations. */
+  enum Gap {
+    /** Connections are reset and refused. */
+    REFUSES,
+    /** Served connections are reset; others wait for the next incarnation. */
+    WAITS,
+    /** Served connections stay without a response for good; others wait. */
+    WAITS_SILENTLY,
+    /** Served connections with a call in progress stay without a response, idle ones are reset. */
+    RESETS_IDLE
+  }
 
   WorkerHost(int number, Path folder, PlatformServer platform) {
     this.id = "worker-" + number;
@@ -53,20 +67,35 @@
     this.platform = platform;
   }
 
-  /** Starts a new incarnation and opens its address. */
-  synchronized void start() throws IOException, InterruptedException {
-    incarnations++;
-    String name = id + "-start-" + incarnations;
-    Path portFile = folder.resolve(name + ".ports");
-    process =
+  /** Launches the process of the next incarnation, which is born in {@link #start}. */
+  synchronized void prepare() throws IOException {
+    if (next != null) {
+      return;
+    }
+    String name = nameOf(incarnations + 1);
+    next =
         SoakProcess.startJava(
             folder.resolve(name + ".log"),
             SoakWorkerMain.class,
             List.of(
                 id,
-                eventFile(incarnations).toString(),
-                portFile.toString(),
+                eventFile(incarnations + 1).toString(),
+                folder.resolve(name + ".ports").toString(),
                 String.valueOf(1 - number % SLOW_CLOCKS * SLOWNESS)));
+  }
+
+  private String nameOf(int incarnation) {
+    return id + "-start-" + incarnation;
+  }
+
+  /** Starts a new incarnation and opens its address. */
+  synchronized void start() throws IOException, InterruptedException {
+    prepare();
+    incarnations++;
+    process = next;
+    next = null;
+    process.sendLine();
+    Path portFile = folder.resolve(nameOf(incarnations) + ".ports");
     while (!Files.exists(portFile) || !Files.readString(portFile).endsWith("\n")) {
       if (!process.isAlive()) {
         throw new IOException("worker has not started: " + process.log());
@@ -83,17 +112,38 @@
   }
 
   private Path eventFile(int incarnation) {
-    return folder.resolve(id + "-start-" + incarnation + ".events");
+    return folder.resolve(nameOf(incarnation) + ".events");
   }
 
   /** Kills the incarnation; connections to its address are refused until the next start. */
-  synchronized void kill() throws IOException, InterruptedException {
+  void kill() throws IOException, InterruptedException {
+    kill(Gap.REFUSES);
+  }
+
+  /** Kills the incarnation. */
+  synchronized void kill(Gap gap) throws IOException, InterruptedException {
     if (!process.isAlive()) {
       return;
     }
+    if (gap != Gap.REFUSES) {
+      proxy.suspend(gap != Gap.WAITS, gap == Gap.WAITS_SILENTLY);
+    }
     kills.add(killEvent());
     process.kill();
-    proxy.refuse();
+    if (gap == Gap.REFUSES) {
+      proxy.refuse();
+    }
+  }
+
+  /** Cuts the worker off from the nodes, and from the store if told so, until {@link #mend}. */
+  void cut(boolean alsoFromStore) {
+    isCutFromStore = alsoFromStore;
+    proxy.cut();
+  }
+
+  void mend() {
+    isCutFromStore = false;
+    proxy.mend();
   }
 
   private RunEvent killEvent() {
@@ -124,7 +174,7 @@
 
   /** Reports the worker if it responds; removes its entry after several silent reports. */
   void report() throws IOException, InterruptedException {
-    Optional<JsonNode> answer = fetchReport();
+    Optional<JsonNode> answer = isCutFromStore ? Optional.empty() : fetchReport();
     if (answer.isEmpty()) {
       silentReports++;
       if (silentReports == MAXIMUM_SILENT_REPORTS) {
@@ -185,6 +235,9 @@
     if (process != null) {
       process.kill();
     }
+    if (next != null) {
+      next.kill();
+    }
     if (proxy != null) {
       proxy.close();
     }
