Cordon machines also in passes without permission for machine commands

Callers: a task that is at work, also of a step with a limit of unavailable tasks, is ended by a maintenance or a move (AVAIL).

Cause: each pass cleared all cordons, and set them again only if machine commands were allowed; then it placed tasks. A command that was sent or not answered may be executed all the same, and ends what was placed meanwhile. The permission is valid for 600 ms from the sending of an append, and appends follow each other after at most 350 ms, so a latency of 250 ms is enough for such passes.

Change: a pass without permission cordons a machine as long as its emptiness is of use, and no longer: - while a maintenance or move of it may be executed: from the command to an answer that says it was not, or to the list that has the machine back; - while it is only being emptied: for 600 ms after the last pass with permission. An append of latency L < 600 ms leaves a gap of max(L, 350) + L - 600 < 600 ms between permissions, so the evacuation goes on before that. A longer gap means appends of 600 ms or more, or lost ones: no maintenance can start then, and the machine gets tasks. A task that is placed on it is stopped within its step's limit before a command is sent, so this breaks no rule.

Why cost worth, by reading: it kept all cordons until the next pass with permission. So machines that were only being emptied, machines that had returned from their maintenance, and machines whose move had been refused or had timed out stood idle while the store was slow or lost responses. The tests of idle capacity cover each of these.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -120,6 +120,15 @@
     logPoolStates(plans, loadsByPool, now);
   }
 
+  /**
+   * Cordons the machines whose moves may still be executed, in a pass in which no machine may be
+   * commanded.
+   */
+  void cordonWithoutCommands(long now) {
+    removeFinishedMoves(now);
+    cordonMovingMachines();
+  }
+
   /**
    * Returns the pools, those that lack most machines for their current load first: the current load
    * takes precedence over reserves for a forecast load.
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -352,12 +352,18 @@
     if (now >= machineCommandsAllowedFrom && machineCommandsAllowed) {
       waveController.advance(now);
       poolPlanner.advance(declaration, now, wallClockMilliseconds);
+    } else {
+      waveController.cordonWithoutCommands(now);
+      poolPlanner.cordonWithoutCommands(now);
     }
     taskPlacer.placeTasks(declaration, now, wallClockMilliseconds);
     passedOverTaskLog.update(declaration, now, wallClockMilliseconds);
   }
 
-  /** Clears all cordons; machines to be maintained or moved are cordoned again in the same pass. */
+  /**
+   * Clears all cordons; machines to be maintained or moved are cordoned again in the same pass,
+   * whether or not machine commands are allowed in it.
+   */
   private void uncordonWorkers() {
     for (Worker worker : workers.all()) {
       worker.cordoned = false;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveController.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveController.java
@@ -33,12 +33,21 @@
   /** Delay before a command that was not executed is sent again. */
   private static final long RETRY_DELAY_MILLISECONDS = 300;
 
+  /**
+   * Time without permission for machine commands from which a machine that is only being evacuated
+   * receives tasks again. While each append takes less time than the permission is valid, the
+   * permission is missing for less than that; after this time it does not return soon.
+   */
+  private static final long MAXIMUM_EVACUATION_PAUSE_MILLISECONDS =
+      Scheduler.MACHINE_COMMAND_VALIDITY_MILLISECONDS;
+
   private final WorkerRegistry workers;
   private final MachineInventory machines;
   private final MaintenanceOrder order;
   private final WorkerEvacuator workerEvacuator;
   private final Outbox outbox;
   private final Map<Long, Wave> waves = new LinkedHashMap<>();
+  private long advancedAt = Long.MIN_VALUE / 2;
 
   WaveController(
       WorkerRegistry workers,
@@ -108,6 +117,7 @@
 
   /** Advances all waves. */
   void advance(long now) {
+    advancedAt = now;
     for (Wave wave : waves.values()) {
       if (!wave.completed) {
         advance(wave, now);
@@ -120,7 +130,7 @@
       return;
     }
     reserveMachinesInMaintenance(wave, now);
-    finishReturnedMachines(wave, now);
+    finishReturnedMachines(wave);
     resendUnanswered(wave, now);
     for (MachineId machine : List.copyOf(wave.stages.keySet())) {
       if (wave.stages.get(machine) == MachineStage.EMPTYING && advanceEvacuation(machine, now)) {
@@ -166,24 +176,51 @@
   }
 
   private void cordon(Wave wave) {
-    for (MachineId machine : wave.stages.keySet()) {
-      workerOn(machine).ifPresent(worker -> worker.cordoned = true);
+    wave.stages.keySet().forEach(this::cordon);
+  }
+
+  private void cordon(MachineId machine) {
+    workerOn(machine).ifPresent(worker -> worker.cordoned = true);
+  }
+
+  /**
+   * Cordons machines in a pass in which no machine may be commanded: those whose maintenance may
+   * still be executed, and for a while those that are being evacuated.
+   */
+  void cordonWithoutCommands(long now) {
+    boolean evacuates = now - advancedAt < MAXIMUM_EVACUATION_PAUSE_MILLISECONDS;
+    for (Wave wave : waves.values()) {
+      for (Map.Entry<MachineId, MachineStage> entry : wave.stages.entrySet()) {
+        boolean isNeededEmpty =
+            switch (entry.getValue()) {
+              case EMPTYING -> evacuates;
+              case ORDERED -> true;
+              case DOWN -> !hasReturned(wave, entry.getKey());
+            };
+        if (isNeededEmpty) {
+          cordon(entry.getKey());
+        }
+      }
     }
   }
 
-  private void finishReturnedMachines(Wave wave, long now) {
+  private void finishReturnedMachines(Wave wave) {
     for (MachineId machine : List.copyOf(wave.stages.keySet())) {
-      boolean listedLater = machines.listedAt() > wave.stageChangedAt.get(machine);
-      Optional<Machine> listed = machines.find(machine);
-      boolean returned = listed.isPresent() && listed.get().state() == Machine.State.UP;
-      if (wave.stages.get(machine) == MachineStage.DOWN
-          && listedLater
-          && (returned || listed.isEmpty())) {
+      if (wave.stages.get(machine) == MachineStage.DOWN && hasReturned(wave, machine)) {
         finishMachine(wave, machine);
       }
     }
   }
 
+  /**
+   * Returns whether a list that is newer than the machine's maintenance has it up or not at all.
+   */
+  private boolean hasReturned(Wave wave, MachineId machine) {
+    boolean listedLater = machines.listedAt() > wave.stageChangedAt.get(machine);
+    return listedLater
+        && machines.find(machine).map(found -> found.state() == Machine.State.UP).orElse(true);
+  }
+
   private void finishMachine(Wave wave, MachineId machine) {
     wave.stages.remove(machine);
     wave.maintained.add(machine);
