Make the append without a response certain in RejectedJobNeverRunsTest

Cause, by reading: the test submitted all jobs, and only then withheld responses; it waited for 2 s at most for a number of stored jobs, and went on with fewer. Beside other load the first appends contained most jobs. Then the number was reached before the second appends were sent, the connections were broken while none was under way, and each copy met status 503: nothing was stored without an acceptance.

Change: responses are withheld before the first job is submitted, one job a node makes an append of each node wait, and the connections are broken only while the first append of a job is withheld, or the response to it. The gateway tells the jobs of these appends apart from those that a node repeats on its own after its timeout, which cannot show the fault. A condition that does not arise within 20 s fails the test; formerly the round went on. The store has to execute each of the appends. The assertions are unchanged.

--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/RejectedJobNeverRunsTest.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/RejectedJobNeverRunsTest.java
@@ -4,11 +4,13 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
 import com.google.common.flogger.FluentLogger;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.flamingochute.platform.standin.WorkPayload;
@@ -34,8 +36,11 @@
   private static final long BATCHING_MILLISECONDS = 150;
   private static final long POLL_INTERVAL_MILLISECONDS = 10;
 
-  /** Stored jobs have to be in the store within this time, or the round goes on with fewer. */
-  private static final int MAXIMUM_POLLS = 200;
+  /** Much less than the 800 ms after which a node repeats an append without a response. */
+  private static final long OTHER_NODES_MILLISECONDS = 50;
+
+  /** Number of polls, which take 20 s, after which a condition of the test has not arisen. */
+  private static final int MAXIMUM_POLLS = 2_000;
 
   private static final Pattern JOB_KEY = Pattern.compile("\"job/([0-9a-f]{16})\"");
 
@@ -60,17 +65,20 @@
         RejectedJobs callers = new RejectedJobs(cluster, NODE_COUNT)) {
       cluster.waitForLeader(-1);
       openConnections(cluster);
-      callers.submit(FIRST_JOB, JOB_COUNT);
       StoreGateway gateway = cluster.gateway();
       gateway.withhold(Withheld.RESPONSES);
-      awaitStoredJobs(cluster, NODE_COUNT);
+      callers.submit(FIRST_JOB, NODE_COUNT);
+      awaitAppendOfEachNode(gateway);
+      callers.submit(FIRST_JOB + NODE_COUNT, JOB_COUNT - 2 * NODE_COUNT);
       // Meanwhile the other jobs gather behind the first append of each node.
       Thread.sleep(BATCHING_MILLISECONDS);
       gateway.withhold(withheld);
-      awaitBatches(cluster, withheld);
-      gateway.disconnect(outage);
+      // A node that waited for longer than its timeout has appended the other jobs already.
+      callers.submit(FIRST_JOB + JOB_COUNT - NODE_COUNT, NODE_COUNT);
+      Set<String> unanswered = disconnectDuringFirstAppends(gateway, outage);
       callers.await();
       gateway.reconnect();
+      awaitStored(cluster, unanswered);
       List<String> stored = awaitStoredJobsCompleted(cluster);
       assertNoRejectedJobRan(cluster, callers, stored);
     }
@@ -84,24 +92,54 @@
     }
   }
 
-  /** Waits until the store contains the jobs of the second append, or the requests are withheld. */
-  private static void awaitBatches(NodeCluster cluster, Withheld withheld) throws Exception {
-    if (withheld == Withheld.RESPONSES) {
-      awaitStoredJobs(cluster, JOB_COUNT / 2);
-      return;
-    }
+  /** Waits until an append of each node is under way that gets no response. */
+  private static void awaitAppendOfEachNode(StoreGateway gateway) throws Exception {
     for (int i = 0; i < MAXIMUM_POLLS; i++) {
-      if (cluster.gateway().withheldRequestCount() >= 2 * NODE_COUNT) {
+      long nodes =
+          gateway.withheldJobs().stream()
+              .mapToInt(RejectedJobNeverRunsTest::firstNodeOf)
+              .distinct()
+              .count();
+      if (nodes == NODE_COUNT) {
         return;
       }
       Thread.sleep(POLL_INTERVAL_MILLISECONDS);
     }
+    throw new IllegalStateException("not every node appends jobs: " + gateway.withheldJobs());
   }
 
-  private static void awaitStoredJobs(NodeCluster cluster, int count) throws Exception {
-    for (int i = 0; i < MAXIMUM_POLLS && storedJobs(cluster).size() < count; i++) {
+  /**
+   * Breaks the connections while the first append of a job is under way and gets no response, and
+   * after a short wait for those of the other nodes; returns the jobs in them. A node that repeats
+   * an append on its own, after its timeout, knows that its result is unknown, so the fault would
+   * not show.
+   */
+  private static Set<String> disconnectDuringFirstAppends(StoreGateway gateway, Outage outage)
+      throws Exception {
+    for (int i = 0; i < MAXIMUM_POLLS && gateway.withheldJobs().isEmpty(); i++) {
+      Thread.sleep(POLL_INTERVAL_MILLISECONDS);
+    }
+    Thread.sleep(OTHER_NODES_MILLISECONDS);
+    Set<String> jobs = gateway.withheldJobs();
+    gateway.disconnect(outage);
+    assertThat("jobs that are appended first", jobs, is(not(empty())));
+    return jobs;
+  }
+
+  /** Returns the number of the node that gets the first call of a job. */
+  private static int firstNodeOf(String job) {
+    return (Integer.parseInt(job, 16) - FIRST_JOB) % NODE_COUNT;
+  }
+
+  /** Waits until the store has executed the appends of these jobs. */
+  private static void awaitStored(NodeCluster cluster, Set<String> jobs) throws Exception {
+    for (int i = 0; i < MAXIMUM_POLLS; i++) {
+      if (storedJobs(cluster).containsAll(jobs)) {
+        return;
+      }
       Thread.sleep(POLL_INTERVAL_MILLISECONDS);
     }
+    throw new IllegalStateException("the store does not contain all of " + jobs);
   }
 
   private static List<String> storedJobs(NodeCluster cluster) throws Exception {
--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/StoreGateway.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/StoreGateway.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Relays the connections between nodes and the store. It can withhold what passes, break all
@@ -26,6 +28,9 @@
       "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
           .getBytes(StandardCharsets.US_ASCII);
 
+  private static final String APPEND_OF_JOBS = "POST /log-append?topic=keyed.intake";
+  private static final Pattern JOB_KEY = Pattern.compile("job/([0-9a-f]{16})");
+
   private final InetSocketAddress store;
   private final InetSocketAddress address;
   private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
@@ -40,7 +45,8 @@
   private Withheld withheld = Withheld.NOTHING;
   private Outage outage = Outage.NONE;
   private long releaseCount;
-  private int withheldRequestCount;
+  private final Set<String> appendedJobs = new HashSet<>();
+  private final Set<String> withheldJobs = new HashSet<>();
 
   /** What is withheld. */
   enum Withheld {
@@ -60,6 +66,12 @@
     UNAVAILABLE
   }
 
+  /** A connection of a node. */
+  private static final class Connection {
+    /** The jobs of which the newest request is the first append. */
+    private Set<String> jobs = Set.of();
+  }
+
   StoreGateway(String storeAddress) throws IOException {
     String[] parts = storeAddress.split(":");
     store = new InetSocketAddress(parts[0], Integer.parseInt(parts[1]));
@@ -101,8 +113,9 @@
       synchronized (this) {
         storeSockets.add(connected);
       }
-      threads.execute(() -> passAll(connected, node, Withheld.RESPONSES));
-      passAll(node, connected, Withheld.REQUESTS);
+      Connection connection = new Connection();
+      threads.execute(() -> passAll(connected, node, Withheld.RESPONSES, connection));
+      passAll(node, connected, Withheld.REQUESTS, connection);
     } catch (IOException e) {
       abort(node);
     }
@@ -126,12 +139,15 @@
     node.close();
   }
 
-  private void passAll(Socket source, Socket target, Withheld direction) {
+  private void passAll(Socket source, Socket target, Withheld direction, Connection connection) {
     byte[] buffer = new byte[BUFFER_BYTES];
     try {
       int length = source.getInputStream().read(buffer);
       while (length > 0) {
-        awaitRelease(direction);
+        if (direction == Withheld.REQUESTS) {
+          recordJobs(connection, new String(buffer, 0, length, StandardCharsets.ISO_8859_1));
+        }
+        awaitRelease(direction, connection);
         target.getOutputStream().write(Arrays.copyOf(buffer, length));
         length = source.getInputStream().read(buffer);
       }
@@ -140,13 +156,30 @@
     }
   }
 
-  private synchronized void awaitRelease(Withheld direction) throws IOException {
+  /**
+   * Records the jobs that a request appends first; it begins with the given text, or continues with
+   * it.
+   */
+  private synchronized void recordJobs(Connection connection, String text) {
+    if (text.startsWith("GET ") || text.startsWith("POST ")) {
+      connection.jobs = text.startsWith(APPEND_OF_JOBS) ? new HashSet<>() : Set.of();
+    }
+    if (connection.jobs instanceof HashSet<String> jobs) {
+      Matcher matcher = JOB_KEY.matcher(text);
+      while (matcher.find()) {
+        if (appendedJobs.add(matcher.group(1))) {
+          jobs.add(matcher.group(1));
+        }
+      }
+    }
+  }
+
+  private synchronized void awaitRelease(Withheld direction, Connection connection)
+      throws IOException {
     if (withheld != direction) {
       return;
     }
-    if (direction == Withheld.REQUESTS) {
-      withheldRequestCount++;
-    }
+    withheldJobs.addAll(connection.jobs);
     long releasesBefore = releaseCount;
     try {
       while (releaseCount == releasesBefore) {
@@ -160,13 +193,17 @@
   /** Passes on what is withheld, and from now on withholds the given kind of message. */
   synchronized void withhold(Withheld kind) {
     withheld = kind;
+    withheldJobs.clear();
     releaseCount++;
     notifyAll();
   }
 
-  /** Returns how many requests have been withheld so far. */
-  synchronized int withheldRequestCount() {
-    return withheldRequestCount;
+  /**
+   * Returns the jobs of which the first append, or the response to it, was withheld since {@link
+   * #withhold} was called.
+   */
+  synchronized Set<String> withheldJobs() {
+    return Set.copyOf(withheldJobs);
   }
 
   /** Breaks the connections of all nodes; what is withheld stays so. */
