Compare a share of answered requests with a run without the fault

Cause: requests arrive at a fixed rate, with a deadline of 5 s, whatever the machine can do, so the share says how fast the machine is.

Change: more than half must be answered, as before. If fewer are, a run without the fault at the same rate follows. If more than half are answered in that one, the case fails; otherwise it is repeated at half the rate, down to an eighth, at which it fails for good. Findings are asserted in each run. On a machine that is fast enough for the rate, the verdict is the former one.

--- a/testsuite/src/test/java/org/flamingochute/testsuite/process/ProcessCluster.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/process/ProcessCluster.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 import org.flamingochute.control.ControlMain;
 import org.flamingochute.decision.fleet.FleetDescriptionParser;
 import org.flamingochute.decision.fleet.KeyDigest;
@@ -42,6 +43,9 @@
   private static final String RUNNER_POOLS =
       "proofs:6,quotes:6,bookings:6,lookups:7,orders:6,spare:2";
 
+  /** A rate of requests or orders in the traffic settings. */
+  private static final Pattern RATE = Pattern.compile("(s_per_second = )(\\d+)");
+
   private final ChildProcesses children;
   private final HttpClient client = HttpClient.newHttpClient();
   private final List<String> entryAddresses = new ArrayList<>();
@@ -186,8 +190,16 @@
     return children.awaitExit(process, seconds);
   }
 
-  /** Starts the callers. */
-  void startCallers() throws IOException {
+  /**
+   * Starts the callers.
+   *
+   * @param rateDivisor number by which the rates of the traffic settings are divided
+   */
+  void startCallers(int rateDivisor) throws IOException {
+    String traffic =
+        RATE.matcher(
+                Files.readString(Path.of("src", "test", "resources", "process", "traffic.ini")))
+            .replaceAll(rate -> rate.group(1) + Integer.parseInt(rate.group(2)) / rateDivisor);
     children.start(
         "callers",
         LoadMain.class.getName(),
@@ -196,7 +208,7 @@
             "--entries",
             String.join(",", entryAddresses),
             "--settings",
-            Path.of("src", "test", "resources", "process", "traffic.ini").toString(),
+            children.writeFile("traffic.ini", traffic),
             "--seed",
             "7",
             "--report",
