--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
@@ -36,8 +36,12 @@
   private static final long MINIMUM_RETRY_DELAY_MILLISECONDS = 50;
   private static final long MAXIMUM_RETRY_DELAY_MILLISECONDS = 400;
 
-  /** Most connections on which one start is tried; none but the last receives it. */
-  private static final int MAXIMUM_START_CONNECTIONS = 3;
+  /**
+   * Most connections on which one start is tried; none but the last receives it. They are more than
+   * the idle ones, all of which may have been closed meanwhile.
+   */
+  private static final int MAXIMUM_START_CONNECTIONS =
+      IncarnationConnections.MAXIMUM_CONNECTIONS + 2;
 
   /**
    * Longest wait for finished runs to be recorded before the lease is renewed without acknowledging
@@ -165,7 +169,8 @@
       }
       case LeaseRenewalOutcome.NotSent notSent -> {
         forgetStatus();
-        renew();
+        // A worker that closes each connection after a response would be called without a pause.
+        loop.delay(MINIMUM_RETRY_DELAY_MILLISECONDS, this::renew);
       }
       case LeaseRenewalOutcome.Fenced fenced -> leadership.onFenced("worker " + worker.key());
       case LeaseRenewalOutcome.Gone gone -> {
@@ -235,13 +240,13 @@
   private void startTask(SchedulerCommand.StartTask start, int connectionsLeft) {
     Optional<StartOutcome> refusal = refusalOfStart();
     if (refusal.isPresent()) {
-      onStartAnswered(start, refusal.get());
+      rejectUnsent(start, refusal.get());
       return;
     }
     startConnections.acquire(
         connection -> {
           if (connection.isEmpty()) {
-            onStartAnswered(start, StartOutcome.NOT_RUN);
+            rejectUnsent(start, StartOutcome.NOT_RUN);
           } else {
             startOn(connection.get(), start, connectionsLeft - 1);
           }
@@ -264,12 +269,17 @@
       ConnectionId connection, SchedulerCommand.StartTask start, int connectionsLeft) {
     Optional<StartOutcome> refusal = refusalOfStart();
     if (refusal.isPresent()) {
+      rejectUnsent(start, refusal.get());
+      startConnections.release(connection);
+      return;
+    }
+    // The run may have been given up while the start waited for the connection.
+    if (!leadership.beginStart(start)) {
       startConnections.release(connection);
-      onStartAnswered(start, refusal.get());
       return;
     }
     long now = clock.steadyMilliseconds();
-    scheduler.onLeaseSent(worker.key(), now);
+    scheduler.onStartSent(worker.key(), now);
     client
         .start(
             worker,
@@ -291,20 +301,28 @@
 
   private void onStartEnded(
       ConnectionId connection, SchedulerCommand.StartTask start, StartOutcome outcome) {
+    onStartAnswered(start, outcome);
     if (outcome == StartOutcome.UNKNOWN) {
       startConnections.discard();
     } else {
       startConnections.release(connection);
     }
-    onStartAnswered(start, outcome);
   }
 
   private void onStartNotSent(SchedulerCommand.StartTask start, int connectionsLeft) {
+    scheduler.onStartNotSent(start);
     startConnections.discard();
     if (connectionsLeft > 0) {
       startTask(start, connectionsLeft);
     } else {
-      onStartAnswered(start, StartOutcome.NOT_RUN);
+      rejectUnsent(start, StartOutcome.NOT_RUN);
+    }
+  }
+
+  /** Gives up a start that was not sent, unless the run was given up before. */
+  private void rejectUnsent(SchedulerCommand.StartTask start, StartOutcome outcome) {
+    if (leadership.beginStart(start)) {
+      onStartAnswered(start, outcome);
     }
   }
 
@@ -317,8 +335,11 @@
 
   private Optional<ConnectionId> connectionOf(LeaseRenewalOutcome result) {
     return switch (result) {
-      case LeaseRenewalOutcome.Renewed renewed when renewed.status().isOf(worker.key()) ->
-          Optional.of(renewed.connection());
+      case LeaseRenewalOutcome.Renewed renewed when renewed.status().isOf(worker.key()) -> {
+        // A deadline on this connection must be on the clock of the process at its other end.
+        workerClock.observe(renewed.status().clockMilliseconds(), clock.steadyMilliseconds());
+        yield Optional.of(renewed.connection());
+      }
       case LeaseRenewalOutcome.Fenced fenced -> {
         leadership.onFenced("worker " + worker.key());
         yield Optional.empty();
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -243,11 +243,16 @@
     return workerTracker.isUnreachable(key);
   }
 
-  /** Records that a lease renewal, or a start command that carries a deadline, was sent. */
+  /** Records that a lease renewal with a deadline was sent. */
   public void onLeaseSent(WorkerKey key, long now) {
     workerTracker.onLeaseSent(key, now);
   }
 
+  /** Records that a start was sent, whose deadline extends the lease. */
+  public void onStartSent(WorkerKey key, long now) {
+    workerTracker.onStartSent(key, now);
+  }
+
   /**
    * Applies a worker's response to a lease renewal.
    *
@@ -267,11 +272,19 @@
     workerTracker.onRenewalFailed(key, gone, cause);
   }
 
-  /** Returns whether a recorded start is still current, and if so marks it as sent. */
+  /**
+   * Returns whether a recorded start is still current, and if so marks it as sent. To be called
+   * directly before the start is written: from then on the run may exist.
+   */
   public boolean beginStart(SchedulerCommand.StartTask start) {
     return commandTracker.beginStart(start);
   }
 
+  /** Handles a start that was not written after all, and is about to be sent again. */
+  public void onStartNotSent(SchedulerCommand.StartTask start) {
+    commandTracker.onStartNotSent(start);
+  }
+
   /** Handles a worker's response to a start command. */
   public void onStartAnswered(
       SchedulerCommand.StartTask start,
@@ -339,12 +352,18 @@
     if (now >= machineCommandsAllowedFrom && machineCommandsAllowed) {
       waveController.advance(now);
       poolPlanner.advance(declaration, now, wallClockMilliseconds);
+    } else {
+      waveController.cordonWithoutCommands(now);
+      poolPlanner.cordonWithoutCommands(now);
     }
     taskPlacer.placeTasks(declaration, now, wallClockMilliseconds);
     passedOverTaskLog.update(declaration, now, wallClockMilliseconds);
   }
 
-  /** Clears all cordons; machines to be maintained or moved are cordoned again in the same pass. */
+  /**
+   * Clears all cordons; machines to be maintained or moved are cordoned again in the same pass,
+   * whether or not machine commands are allowed in it.
+   */
   private void uncordonWorkers() {
     for (Worker worker : workers.all()) {
       worker.cordoned = false;
--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakCallers.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakCallers.java
@@ -29,14 +29,27 @@
   private static final double LONG_WORK_SHARE = 0.2;
   private static final double TWO_STEPS_SHARE = 0.3;
 
+  /** Processors of a task that outlasts the longest lease, in thousandths of a core. */
+  private static final long LASTING_MILLICORES = 120;
+
+  /**
+   * Jobs of a burst where tasks outlast the longest lease. Their starts need new connections, which
+   * may reach the next incarnation of a worker that is down.
+   */
+  private static final int BURST_JOBS = 6;
+
+  /** Share of the jobs whose tasks outlast the longest lease. */
+  private final double lastingShare;
+
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(TIMEOUT).build();
   private final List<SoakNode> nodes;
   private final List<JobStory> stories = new CopyOnWriteArrayList<>();
   private final List<Thread> threads = new ArrayList<>();
 
-  SoakCallers(List<SoakNode> nodes) {
+  SoakCallers(List<SoakNode> nodes, double lastingShare) {
     this.nodes = nodes;
+    this.lastingShare = lastingShare;
   }
 
   List<JobStory> stories() {
@@ -60,26 +73,33 @@
       UniformRandomProvider ownRandom = RandomSource.XO_SHI_RO_256_SS.create(random.nextLong());
       stories.add(story);
       threads.add(Thread.startVirtualThread(() -> live(story, ownRandom)));
-      Thread.sleep(Math.round(-Math.log(1 - random.nextDouble()) * 1_000 / jobsPerSecond));
+      int burst = lastingShare > 0 ? BURST_JOBS : 1;
+      if (random.nextInt(burst) == 0) {
+        Thread.sleep(
+            Math.round(-Math.log(1 - random.nextDouble()) * 1_000 * burst / jobsPerSecond));
+      }
     }
     for (Thread thread : threads) {
       thread.join();
     }
   }
 
-  private static JobStory drawStory(UniformRandomProvider random) {
+  private JobStory drawStory(UniformRandomProvider random) {
     String job = "%016x".formatted(random.nextLong());
     boolean isCancelled = random.nextDouble() < CANCEL_SHARE;
+    boolean isLasting = !isCancelled && random.nextDouble() < lastingShare;
     SoakSpec spec =
         new SoakSpec(
-            isCancelled ? CANCELLED_WORK_MILLISECONDS : drawWork(random),
-            random.nextInt(100, 900),
-            random.nextInt(4) == 0 ? 1 : 0,
+            isCancelled
+                ? CANCELLED_WORK_MILLISECONDS
+                : isLasting ? random.nextInt(11_000, 16_000) : drawWork(random),
+            isLasting ? LASTING_MILLICORES : random.nextInt(100, 900),
+            !isLasting && random.nextInt(4) == 0 ? 1 : 0,
             random.nextBoolean(),
             job);
     List<Integer> steps = new ArrayList<>();
-    steps.add(random.nextInt(1, 4));
-    if (random.nextDouble() < TWO_STEPS_SHARE) {
+    steps.add(isLasting ? random.nextInt(2, 7) : random.nextInt(1, 4));
+    if (!isLasting && random.nextDouble() < TWO_STEPS_SHARE) {
       steps.add(random.nextInt(1, 3));
     }
     return new JobStory(job, random.nextInt(3) == 0 ? "/rush/" : "/orders/", spec, steps);
