--- a/node/src/main/java/org/flamingochute/node/leadership/IncarnationConnections.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/IncarnationConnections.java
@@ -75,7 +75,7 @@
     serveWaiting();
   }
 
-  /** Removes a connection that was closed, or is used for other calls. */
+  /** Gives up a connection that was acquired, since it was closed or is used for other calls. */
   void discard() {
     openConnections--;
     if (!waiting.isEmpty()) {
--- a/node/src/main/java/org/flamingochute/node/leadership/LeadershipContext.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/LeadershipContext.java
@@ -26,7 +26,7 @@
 
   /**
    * Returns whether runs may be started: the term has not ended, and the last successful append is
-   * so recent that a successor still waits for starts of this leader.
+   * so recent that no other leader is likely to have taken over.
    */
   boolean canStartRuns();
 
--- a/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/WorkerSession.java
@@ -37,8 +37,8 @@
   private static final long MAXIMUM_RETRY_DELAY_MILLISECONDS = 400;
 
   /**
-   * Most connections on which one start is tried; none but the last receives it. They are more than
-   * the idle ones, all of which may have been closed meanwhile.
+   * Most connections that one start is offered to until one of them can carry it. They are more
+   * than the idle ones, all of which may have been closed meanwhile.
    */
   private static final int MAXIMUM_START_CONNECTIONS =
       IncarnationConnections.MAXIMUM_CONNECTIONS + 2;
