Give the load tool time for three requests in LoadProcessTest

Cause: the test counts three faults in requests that are sent one after the other for 300 ms.

Change: 5 s instead of 300 ms; the counts and exit codes that are asserted are the same.

--- a/load/src/test/java/org/flamingochute/load/LoadProcessTest.java
+++ b/load/src/test/java/org/flamingochute/load/LoadProcessTest.java
@@ -23,6 +23,8 @@
 
 /** Tests the load tool directly against a stand-in runner, without an entry. */
 class LoadProcessTest {
+  /** Time for three requests, one after the other, also on a machine that is busy. */
+  private static final long DURATION_MILLISECONDS = 5_000;
 
   private static final String LOOPBACK = "127.0.0.1:0";
 
@@ -79,7 +81,7 @@
         "--concurrency",
         "1",
         "--duration-milliseconds",
-        "300"
+        Long.toString(DURATION_MILLISECONDS)
       };
       assertThat(LoadMain.run(arguments, stream, stream), equalTo(exitCode));
       assertThat(output.toString(StandardCharsets.UTF_8), containsString(text));
