--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeProcessTest.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeProcessTest.java
@@ -13,7 +13,9 @@
 import java.util.List;
 import org.flamingochute.platform.standin.WorkPayload;
 import org.flamingochute.platform.standin.caller.CallResult;
+import org.flamingochute.testsuite.knownred.KnownRedExtension;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -22,6 +24,7 @@
 /**
  * Tests the node program in separate processes against the platform stand-in, with injected faults.
  */
+@ExtendWith(KnownRedExtension.class)
 final class NodeProcessTest {
   private static final String JOB = "00000000000000a1";
   private static final String LATER_JOB = "00000000000000a2";
