--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -30,10 +30,12 @@
 import org.flamingochute.platform.wire.StoreTopic;
 import org.flamingochute.platform.wire.WorkerClient;
 import org.flamingochute.scheduling.core.SchedulerSettings;
+import org.flamingochute.scheduling.core.SchedulingFeatures;
 import org.flamingochute.scheduling.leadership.ClaimDelay;
 import org.flamingochute.schema.BoundSection;
 import org.flamingochute.schema.InstancePlaceSection;
 import org.flamingochute.schema.NodeSettings;
+import org.flamingochute.schema.SchedulingSection;
 
 /** A running node: all its components on one event loop. */
 final class Node {
@@ -213,9 +215,19 @@
         .absenceNoticeMilliseconds(bounds.getAbsenceNoticeMilliseconds())
         .moveMilliseconds(toMilliseconds(bounds.getMoveSeconds()))
         .maintenanceMilliseconds(toMilliseconds(bounds.getMaintenanceSeconds()))
+        .features(features())
         .build();
   }
 
+  private SchedulingFeatures features() {
+    SchedulingSection scheduling = settings.getScheduling();
+    return new SchedulingFeatures(
+        scheduling.getLearnedDurations(),
+        scheduling.getSpeculativeCopies(),
+        scheduling.getTaskSeparation(),
+        scheduling.getLoadShedding());
+  }
+
   private static long toMilliseconds(double seconds) {
     return Math.round(seconds * MILLISECONDS_PER_SECOND);
   }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerSettings.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerSettings.java
@@ -11,6 +11,7 @@
   private final long absenceNoticeMilliseconds;
   private final long moveMilliseconds;
   private final long maintenanceMilliseconds;
+  private final SchedulingFeatures features;
 
   private SchedulerSettings(Builder builder) {
     leaseMilliseconds = builder.leaseMilliseconds;
@@ -22,6 +23,7 @@
     absenceNoticeMilliseconds = builder.absenceNoticeMilliseconds;
     moveMilliseconds = builder.moveMilliseconds;
     maintenanceMilliseconds = builder.maintenanceMilliseconds;
+    features = builder.features;
   }
 
   /** Returns a builder with the default values. */
@@ -112,6 +114,11 @@
   /** Longer than an append takes, which the store refuses if it would have to wait for 2 s. */
   private static final long START_VALIDITY_MILLISECONDS = 2_500;
 
+  /** Returns the optional parts that are enabled. */
+  public SchedulingFeatures features() {
+    return features;
+  }
+
   /** Builds settings. */
   public static final class Builder {
     private long leaseMilliseconds = 3_500;
@@ -123,6 +130,7 @@
     private long absenceNoticeMilliseconds = 4_500;
     private long moveMilliseconds = 1_500;
     private long maintenanceMilliseconds = 2_000;
+    private SchedulingFeatures features = SchedulingFeatures.NONE;
 
     private Builder() {}
 
@@ -183,6 +191,12 @@
       return this;
     }
 
+    /** Sets the optional parts that are enabled; none by default. */
+    public Builder features(SchedulingFeatures value) {
+      features = value;
+      return this;
+    }
+
     /** Returns the settings. */
     public SchedulerSettings build() {
       return new SchedulerSettings(this);
