--- /dev/null
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/duration/DurationModel.java
@@ -0,0 +1,13 @@
+package org.flamingochute.scheduling.duration;
+
+import org.flamingochute.schema.scheduling.QueuedStep;
+
+/** Predicts how long one task of a step runs on a healthy worker. */
+public sealed interface DurationModel permits EstimatedDurations {
+
+  /** Returns the expected duration of one task of the step, in milliseconds. */
+  long expectedMilliseconds(QueuedStep step, String queue);
+
+  /** Adds the duration of a run that ended with success. */
+  void observe(QueuedStep step, String queue, long milliseconds);
+}
--- /dev/null
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/duration/EstimatedDurations.java
@@ -0,0 +1,17 @@
+package org.flamingochute.scheduling.duration;
+
+import org.flamingochute.schema.scheduling.QueuedStep;
+
+/** Takes the durations that callers submit. */
+public final class EstimatedDurations implements DurationModel {
+
+  @Override
+  public long expectedMilliseconds(QueuedStep step, String queue) {
+    return step.getEstimateMilliseconds();
+  }
+
+  @Override
+  public void observe(QueuedStep step, String queue, long milliseconds) {
+    // Estimates do not change.
+  }
+}
--- /dev/null
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/duration/package-info.java
@@ -0,0 +1,2 @@
+/** How long tasks are expected to run. */
+package org.flamingochute.scheduling.duration;
