Let a new leader command machines at once that its predecessor did not command

Cause: after a takeover from a leader that may still be running, no machine was moved for 3.6 s after its last record.

Ruled out: a shorter wait for all machines, as two leaders must not command the same machine within the fence time; times in the record, as the clocks of nodes differ.

Change: a leader records the machines of its last commands (machine-commands) before it sends them, with the epoch of its term. A successor that finds the record of its direct predecessor holds back these machines only; otherwise all, as before. Maintenance still waits, since a machine that is about to go down would not count against the limit of its wave.

--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
@@ -12,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.flamingochute.decision.identity.JobId;
+import org.flamingochute.decision.identity.MachineId;
 import org.flamingochute.node.ClockReading;
 import org.flamingochute.node.NodeClock;
 import org.flamingochute.node.store.ScheduleKeys;
@@ -33,6 +34,7 @@
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.LeaderTerm;
+import org.flamingochute.schema.scheduling.MachineCommands;
 import org.flamingochute.schema.scheduling.WaveProgress;
 
 /**
@@ -299,12 +301,25 @@
       records.add(
           new KeyedValue(ScheduleKeys.POOL_HISTORY, batch.poolHistory().get().toByteArray()));
     }
+    batch
+        .machineCommands()
+        .ifPresent(
+            machines ->
+                records.add(
+                    new KeyedValue(
+                        ScheduleKeys.MACHINE_COMMANDS, toRecord(machines).toByteArray())));
     if (records.isEmpty() || termRenewal.mustRecordLeaseExpiry(clock.steadyMilliseconds())) {
       records.add(nextTermRecord());
     }
     return records;
   }
 
+  private MachineCommands toRecord(List<MachineId> machines) {
+    MachineCommands.Builder record = MachineCommands.newBuilder().setEpoch(epoch());
+    machines.forEach(machine -> record.addMachines(machine.value()));
+    return record.build();
+  }
+
   private KeyedValue nextTermRecord() {
     LeaderTerm renewed = termRenewal.next(clock.steadyMilliseconds()).build();
     return new KeyedValue(ScheduleKeys.LEADER_TERM, renewed.toByteArray());
--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.JobId;
+import org.flamingochute.decision.identity.MachineId;
 import org.flamingochute.node.ClockReading;
 import org.flamingochute.node.FleetState;
 import org.flamingochute.node.LogText;
@@ -28,6 +29,7 @@
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.LeaderTerm;
+import org.flamingochute.schema.scheduling.MachineCommands;
 import org.flamingochute.schema.scheduling.PoolHistory;
 import org.flamingochute.schema.scheduling.WaveProgress;
 
@@ -50,6 +52,7 @@
   private final LeaderCandidate candidate;
   private final Map<Long, WaveProgress> waveProgress = new HashMap<>();
   private Optional<PoolHistory> poolHistory = Optional.empty();
+  private MachineCommands machineCommands = MachineCommands.getDefaultInstance();
   private Optional<StoreFollower> scheduleFollower = Optional.empty();
   private Optional<StoreFollower> intakeFollower = Optional.empty();
   private Optional<LeadershipClaim> claim = Optional.empty();
@@ -128,6 +131,7 @@
   }
 
   private void claimLeadership() {
+    final long predecessorEpoch = monitor.newestTerm().getEpoch();
     LeaderTerm term =
         LeaderTerm.newBuilder()
             .setEpoch(
@@ -139,17 +143,21 @@
             .build();
     LeadershipClaim newClaim =
         new LeadershipClaim(
-            dependencies, monitor, intakeFollower.orElseThrow(), term, claimListener());
+            dependencies,
+            monitor,
+            intakeFollower.orElseThrow(),
+            term,
+            claimListener(predecessorEpoch));
     claim = Optional.of(newClaim);
     newClaim.start(scheduleFollower.orElseThrow().nextOffset());
   }
 
-  private LeadershipClaim.Listener claimListener() {
+  private LeadershipClaim.Listener claimListener(long predecessorEpoch) {
     return new LeadershipClaim.Listener() {
       @Override
       public void onWon(LeaderTerm term, ClockReading claimedAt) {
         claim = Optional.empty();
-        becomeLeader(term, claimedAt);
+        becomeLeader(term, claimedAt, predecessorEpoch);
       }
 
       @Override
@@ -160,7 +168,7 @@
     };
   }
 
-  private void becomeLeader(LeaderTerm term, ClockReading claimedAt) {
+  private void becomeLeader(LeaderTerm term, ClockReading claimedAt, long predecessorEpoch) {
     Optional<FleetDeclaration> declaration = state.declaration();
     if (declaration.isEmpty()) {
       return;
@@ -176,6 +184,11 @@
             monitor.predecessorLastRecordAt(),
             now);
     poolHistory.ifPresent(scheduler::restorePoolHistory);
+    // The record of an earlier term lacks the commands of the terms after it.
+    if (machineCommands.getEpoch() == predecessorEpoch) {
+      scheduler.restoreMachineCommands(
+          machineCommands.getMachinesList().stream().map(MachineId::new).toList());
+    }
     state.workers().forEach(report -> scheduler.onWorkerListed(report, now));
     state.unlistedWorkers().forEach(scheduler::restoreUnlistedWorker);
     for (StoredJob job : state.jobs().jobsByAcceptance()) {
@@ -238,6 +251,10 @@
       poolHistory = Optional.of(PoolHistory.parseFrom(record.value()));
       return;
     }
+    if (record.key().equals(ScheduleKeys.MACHINE_COMMANDS)) {
+      machineCommands = MachineCommands.parseFrom(record.value());
+      return;
+    }
     Optional<JobId> job = ScheduleKeys.progressedJobOf(record.key());
     // The leader has already applied its own records, and possibly newer ones.
     if (job.isEmpty() || driver.isPresent()) {
--- a/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
+++ b/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
@@ -11,6 +11,9 @@
   /** Key of the load history of pools. */
   public static final String POOL_HISTORY = "pool-history";
 
+  /** Key of the machines that the leader may have commanded lately. */
+  public static final String MACHINE_COMMANDS = "machine-commands";
+
   /** Key of the operators' declaration. */
   public static final String DECLARATION = "config";
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Outbox.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Outbox.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.flamingochute.decision.identity.JobId;
+import org.flamingochute.decision.identity.MachineId;
 import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.PoolHistory;
 import org.flamingochute.schema.scheduling.WaveProgress;
@@ -19,6 +20,7 @@
   private final List<JobId> deletedJobs = new ArrayList<>();
   private Map<Long, WaveProgress> changedWaves = new LinkedHashMap<>();
   private Optional<PoolHistory> poolHistory = Optional.empty();
+  private Optional<List<MachineId>> machineCommands = Optional.empty();
   private List<SchedulerCommand> immediateCommands = new ArrayList<>();
   private List<SchedulerCommand> commandsAfterRecording = new ArrayList<>();
 
@@ -44,6 +46,11 @@
     poolHistory = Optional.of(newest);
   }
 
+  /** Has the machines recorded that may have been commanded lately. */
+  void recordMachineCommands(List<MachineId> machines) {
+    machineCommands = Optional.of(List.copyOf(machines));
+  }
+
   void sendNow(SchedulerCommand command) {
     immediateCommands.add(command);
   }
@@ -59,7 +66,8 @@
         && expiredJobs.isEmpty()
         && deletedJobs.isEmpty()
         && changedWaves.isEmpty()
-        && poolHistory.isEmpty();
+        && poolHistory.isEmpty()
+        && machineCommands.isEmpty();
   }
 
   /** Removes and returns the commands that need no record. */
@@ -80,12 +88,14 @@
     final List<SchedulerCommand> takenCommands = commandsAfterRecording;
     final Map<Long, WaveProgress> takenWaves = changedWaves;
     final Optional<PoolHistory> takenHistory = poolHistory;
+    final Optional<List<MachineId>> takenMachineCommands = machineCommands;
     changedJobs.clear();
     expiredJobs.clear();
     deletedJobs.clear();
     commandsAfterRecording = new ArrayList<>();
     changedWaves = new LinkedHashMap<>();
     poolHistory = Optional.empty();
+    machineCommands = Optional.empty();
     return new SchedulerBatch(
         takeImmediateCommands(),
         records,
@@ -93,6 +103,7 @@
         takenDeletions,
         takenWaves,
         takenHistory,
+        takenMachineCommands,
         takenCommands);
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -46,6 +46,7 @@
   private final JobRegistry jobs;
   private final WaveController waveController;
   private final MaintenanceOrder maintenanceOrder;
+  private final MachineCommandFence machineCommandFence;
   private final Outbox outbox;
   private final Map<MachineId, Move> moves = new LinkedHashMap<>();
   private final LoadPeakForecast forecast = new LoadPeakForecast();
@@ -62,6 +63,7 @@
       JobRegistry jobs,
       WaveController waveController,
       MaintenanceOrder maintenanceOrder,
+      MachineCommandFence machineCommandFence,
       Outbox outbox) {
     this.workers = workers;
     this.machines = machines;
@@ -70,6 +72,7 @@
     this.jobs = jobs;
     this.waveController = waveController;
     this.maintenanceOrder = maintenanceOrder;
+    this.machineCommandFence = machineCommandFence;
     this.outbox = outbox;
   }
 
@@ -94,7 +97,7 @@
     }
     boolean historyChanged = machineHomePools.recordNewMachines();
     Map<PoolId, PoolLoad> loadsByPool = loadsByPool(wallClockMilliseconds);
-    Map<PoolId, PoolPlan> plans = plansByPool(declaration);
+    Map<PoolId, PoolPlan> plans = plansByPool(declaration, now);
     Optional<PoolPlan> standby =
         plans.values().stream().filter(plan -> plan.pool.standby()).findFirst();
     ResourceVector machineCapacity = typicalCapacity();
@@ -179,7 +182,7 @@
     return loadsByPool;
   }
 
-  private Map<PoolId, PoolPlan> plansByPool(FleetDeclaration declaration) {
+  private Map<PoolId, PoolPlan> plansByPool(FleetDeclaration declaration, long now) {
     Map<PoolId, PoolPlan> plans = new TreeMap<>();
     for (Pool pool : declaration.pools()) {
       plans.put(pool.id(), new PoolPlan(pool));
@@ -194,6 +197,7 @@
       boolean isMovable =
           move == null
               && machine.state() == Machine.State.UP
+              && machineCommandFence.allows(machine.id(), now)
               && !waveController.isInProgress(machine.id());
       if (isMovable && isIdle(machine, plan.pool)) {
         plan.movableMachines.add(machine);
@@ -276,7 +280,8 @@
 
   private void moveMachine(Machine machine, PoolId pool, long now) {
     moves.put(machine.id(), new Move(pool, now));
-    outbox.sendNow(new SchedulerCommand.MoveMachine(machine.id(), pool));
+    machineCommandFence.onCommand(machine.id(), now);
+    outbox.sendAfterRecording(new SchedulerCommand.MoveMachine(machine.id(), pool));
     logger.atInfo().log(
         "event=machine_moving machine=%s from=%s to=%s", machine.id(), machine.pool(), pool);
   }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.JobId;
+import org.flamingochute.decision.identity.MachineId;
 import org.flamingochute.decision.identity.QueueId;
 import org.flamingochute.decision.placement.WorkerHealth;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
@@ -40,8 +41,7 @@
 
   private final SchedulerSettings settings;
 
-  /** Time from which machines may be moved and maintained. */
-  private final long machineCommandsAllowedFrom;
+  private final MachineCommandFence machineCommandFence;
 
   private final WorkerRegistry workers = new WorkerRegistry();
   private final JobRegistry jobs = new JobRegistry();
@@ -87,12 +87,15 @@
             + (predecessor == PredecessorState.OVER
                 ? settings.leaseExpiryMilliseconds()
                 : settings.inheritedLeaseMilliseconds());
-    machineCommandsAllowedFrom =
-        predecessor == PredecessorState.OVER
-            ? leaderSince
-            : predecessorLastRecordAt
-                + MACHINE_COMMAND_VALIDITY_MILLISECONDS
-                + settings.fenceMilliseconds();
+    final long machineCommandDistance =
+        MACHINE_COMMAND_VALIDITY_MILLISECONDS + settings.fenceMilliseconds();
+    machineCommandFence =
+        new MachineCommandFence(
+            predecessor == PredecessorState.OVER
+                ? leaderSince
+                : predecessorLastRecordAt + machineCommandDistance,
+            machineCommandDistance,
+            outbox);
     lifecycle = new TaskLifecycle(jobs, teamUsage, workerHealth, outbox, settings);
     workerTracker = new WorkerTracker(workers, lifecycle, settings, inheritedLeasesExpireAt);
     statusProcessor = new WorkerStatusProcessor(workers, workerTracker, jobs, lifecycle, outbox);
@@ -105,9 +108,11 @@
     fillerPacer = new FillerPacer(workers, outbox);
     MaintenanceOrder maintenanceOrder = new MaintenanceOrder(machines, workers);
     waveController =
-        new WaveController(workers, machines, maintenanceOrder, workerEvacuator, outbox);
+        new WaveController(
+            workers, machines, maintenanceOrder, workerEvacuator, machineCommandFence, outbox);
     poolPlanner =
-        new PoolPlanner(workers, machines, jobs, waveController, maintenanceOrder, outbox);
+        new PoolPlanner(
+            workers, machines, jobs, waveController, maintenanceOrder, machineCommandFence, outbox);
   }
 
   /** Applies a new declaration. */
@@ -309,6 +314,14 @@
     poolPlanner.restore(history);
   }
 
+  /**
+   * Restores the machines that the direct predecessor may have commanded lately. Without them this
+   * leader waits with all machine commands until those of the predecessor are long enough ago.
+   */
+  public void restoreMachineCommands(List<MachineId> commandedMachines) {
+    machineCommandFence.restore(commandedMachines);
+  }
+
   /** Applies the platform's list of machines. */
   public void onMachinesListed(List<Machine> listed, long requestedAt) {
     machines.replace(listed, requestedAt);
@@ -349,15 +362,26 @@
     progressMonitor.update(now);
     fillerPacer.updatePaces(now);
     uncordonWorkers();
-    if (now >= machineCommandsAllowedFrom && machineCommandsAllowed) {
+    commandMachines(now, wallClockMilliseconds);
+    taskPlacer.placeTasks(declaration, now, wallClockMilliseconds);
+    passedOverTaskLog.update(declaration, now, wallClockMilliseconds);
+  }
+
+  private void commandMachines(long now, long wallClockMilliseconds) {
+    // A machine whose maintenance a predecessor ordered may not be listed as down yet, and would
+    // not
+    // count against the limit of its wave.
+    if (machineCommandsAllowed && machineCommandFence.allowsAll(now)) {
       waveController.advance(now);
-      poolPlanner.advance(declaration, now, wallClockMilliseconds);
     } else {
       waveController.cordonWithoutCommands(now);
+    }
+    if (machineCommandsAllowed && machineCommandFence.allowsSome(now)) {
+      poolPlanner.advance(declaration, now, wallClockMilliseconds);
+    } else {
       poolPlanner.cordonWithoutCommands(now);
     }
-    taskPlacer.placeTasks(declaration, now, wallClockMilliseconds);
-    passedOverTaskLog.update(declaration, now, wallClockMilliseconds);
+    machineCommandFence.update(now);
   }
 
   /**
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerBatch.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulerBatch.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.flamingochute.decision.identity.JobId;
+import org.flamingochute.decision.identity.MachineId;
 import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.PoolHistory;
 import org.flamingochute.schema.scheduling.WaveProgress;
@@ -18,6 +19,7 @@
  * @param deletedJobs jobs whose progress is to be deleted, as their definitions are gone
  * @param waves new progress of maintenance waves, by wave number
  * @param poolHistory new load history of pools, when it changed
+ * @param machineCommands machines that may have been commanded lately, when they changed
  * @param commandsAfterRecording commands to send once the records are durable; a task whose start
  *     is sent without a durable record could run twice
  */
@@ -28,6 +30,7 @@
     List<JobId> deletedJobs,
     Map<Long, WaveProgress> waves,
     Optional<PoolHistory> poolHistory,
+    Optional<List<MachineId>> machineCommands,
     List<SchedulerCommand> commandsAfterRecording) {
 
   /** Returns whether the batch is empty. */
@@ -43,6 +46,7 @@
     return !records.isEmpty()
         || !deletedJobs.isEmpty()
         || !waves.isEmpty()
-        || poolHistory.isPresent();
+        || poolHistory.isPresent()
+        || machineCommands.isPresent();
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveController.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveController.java
@@ -45,6 +45,7 @@
   private final MachineInventory machines;
   private final MaintenanceOrder order;
   private final WorkerEvacuator workerEvacuator;
+  private final MachineCommandFence machineCommandFence;
   private final Outbox outbox;
   private final Map<Long, Wave> waves = new LinkedHashMap<>();
   private long advancedAt = Long.MIN_VALUE / 2;
@@ -54,11 +55,13 @@
       MachineInventory machines,
       MaintenanceOrder order,
       WorkerEvacuator workerEvacuator,
+      MachineCommandFence machineCommandFence,
       Outbox outbox) {
     this.workers = workers;
     this.machines = machines;
     this.order = order;
     this.workerEvacuator = workerEvacuator;
+    this.machineCommandFence = machineCommandFence;
     this.outbox = outbox;
   }
 
@@ -170,7 +173,7 @@
     for (MachineId machine : wave.unanswered) {
       if (now >= wave.retryAt.getOrDefault(machine, Long.MIN_VALUE)) {
         wave.retryAt.put(machine, now + RETRY_DELAY_MILLISECONDS);
-        outbox.sendNow(new SchedulerCommand.MaintainMachine(machine, wave.request.number()));
+        sendMaintenance(wave, machine, now);
       }
     }
   }
@@ -262,6 +265,11 @@
       return;
     }
     wave.setStage(machine, MachineStage.ORDERED, now);
+    sendMaintenance(wave, machine, now);
+  }
+
+  private void sendMaintenance(Wave wave, MachineId machine, long now) {
+    machineCommandFence.onCommand(machine, now);
     outbox.sendAfterRecording(new SchedulerCommand.MaintainMachine(machine, wave.request.number()));
   }
 
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/WaveControllers.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/WaveControllers.java
@@ -16,6 +16,7 @@
         machines,
         new MaintenanceOrder(machines, workers),
         new WorkerEvacuator(lifecycle),
+        new MachineCommandFence(0, 0, outbox),
         outbox);
   }
 }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -211,6 +211,7 @@
     epoch++;
     commandsOfFormerLeaders.addAll(leader.commands());
     leader = newLeader(predecessor);
+    store.commandedMachines(epoch - 1).ifPresent(scheduler()::restoreMachineCommands);
     reports.restore(scheduler(), now);
     for (StoredJob job : List.copyOf(store.jobs().jobs())) {
       scheduler().onJobStored(job, now, now);
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedStore.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedStore.java
@@ -1,7 +1,9 @@
 package org.flamingochute.scheduling.simulation;
 
+import java.util.List;
 import java.util.Optional;
 import org.flamingochute.decision.identity.JobId;
+import org.flamingochute.decision.identity.MachineId;
 import org.flamingochute.scheduling.core.Scheduler;
 import org.flamingochute.scheduling.core.SchedulerBatch;
 import org.flamingochute.scheduling.job.JobTable;
@@ -37,10 +39,13 @@
   }
 
   private final JobTable jobs = new JobTable();
+  private Optional<CommandedMachines> commandedMachines = Optional.empty();
   private Fault fault = Fault.NONE;
   private long epoch;
   private long responseDelayMilliseconds;
 
+  private record CommandedMachines(long epoch, List<MachineId> machines) {}
+
   JobTable jobs() {
     return jobs;
   }
@@ -74,9 +79,21 @@
     }
     batch.records().forEach(jobs::updateProgress);
     batch.deletedJobs().forEach(jobs::delete);
+    batch
+        .machineCommands()
+        .ifPresent(
+            machines ->
+                commandedMachines = Optional.of(new CommandedMachines(leaderEpoch, machines)));
     return AppendOutcome.EXECUTED;
   }
 
+  /** Returns the machines that the leader of a term recorded last, if it recorded any list. */
+  Optional<List<MachineId>> commandedMachines(long leaderEpoch) {
+    return commandedMachines
+        .filter(recorded -> recorded.epoch() == leaderEpoch)
+        .map(CommandedMachines::machines);
+  }
+
   /** Deletes the definitions of the expired jobs of a batch. */
   void deleteDefinitions(SchedulerBatch batch, Scheduler scheduler) {
     batch.expiredJobs().forEach(job -> deleteDefinition(job, scheduler));
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWriter.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWriter.java
@@ -92,6 +92,7 @@
         batch.deletedJobs(),
         batch.waves(),
         batch.poolHistory(),
+        batch.machineCommands(),
         batch.commandsAfterRecording());
   }
 }
