Write the progress of jobs in groups of similar tasks

Cause: every node reads every progress record, and the record of a job is written again with each change of one of its tasks, with a line per task.

Ruled out: deferred acknowledgements, so that fewer records are written: a worker answers a long poll at once while it lists an end that is not acknowledged. Another topic for the details of tasks: a claim would have to fence two topics.

Change: CompactProgress; a record names each worker once and has one entry for the tasks of a step that differ only in their index. Tasks with checkpoints or copies keep their own entries. The setting compact_records enables writing it; all nodes read both forms, and nodes that do not lead no longer build an object for each task. PoolLoad adds the reservations of a step once instead of for each task.

--- a/decision/src/main/java/org/flamingochute/decision/placement/ResourceVector.java
+++ b/decision/src/main/java/org/flamingochute/decision/placement/ResourceVector.java
@@ -45,6 +45,12 @@
         accelerators - other.accelerators);
   }
 
+  /** Returns the given number of copies of this amount. */
+  public ResourceVector times(long count) {
+    return new ResourceVector(
+        processorMillicores * count, memoryMebibytes * count, accelerators * count);
+  }
+
   /** Returns whether each component is at most that of the other vector. */
   public boolean fitsIn(ResourceVector other) {
     return processorMillicores <= other.processorMillicores
--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
@@ -28,6 +28,7 @@
 import org.flamingochute.scheduling.core.SchedulerCommand;
 import org.flamingochute.scheduling.core.SchedulerSettings;
 import org.flamingochute.scheduling.core.StartOutcome;
+import org.flamingochute.scheduling.job.CompactProgress;
 import org.flamingochute.scheduling.job.JobTable;
 import org.flamingochute.scheduling.leadership.TermRenewal;
 import org.flamingochute.scheduling.worker.WorkerKey;
@@ -288,7 +289,8 @@
     List<KeyedValue> records = new ArrayList<>();
     for (Map.Entry<JobId, JobProgress> entry : batch.records().entrySet()) {
       records.add(
-          new KeyedValue(ScheduleKeys.progress(entry.getKey()), entry.getValue().toByteArray()));
+          new KeyedValue(
+              ScheduleKeys.progress(entry.getKey()), stored(entry.getValue()).toByteArray()));
     }
     for (JobId job : batch.deletedJobs()) {
       records.add(KeyedValue.tombstone(ScheduleKeys.progress(job)));
@@ -314,6 +316,10 @@
     return records;
   }
 
+  private JobProgress stored(JobProgress progress) {
+    return settings.features().compactRecords() ? CompactProgress.compact(progress) : progress;
+  }
+
   private MachineCommands toRecord(List<MachineId> machines) {
     MachineCommands.Builder record = MachineCommands.newBuilder().setEpoch(epoch());
     machines.forEach(machine -> record.addMachines(machine.value()));
--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
@@ -22,6 +22,7 @@
 import org.flamingochute.scheduling.core.Scheduler;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.WaveRequest;
+import org.flamingochute.scheduling.job.CompactProgress;
 import org.flamingochute.scheduling.job.StoredJob;
 import org.flamingochute.scheduling.leadership.LeaderCandidate;
 import org.flamingochute.scheduling.leadership.LeaderEpoch;
@@ -263,7 +264,9 @@
     if (record.isTombstone()) {
       state.jobs().delete(job.get());
     } else {
-      state.jobs().updateProgress(job.get(), JobProgress.parseFrom(record.value()));
+      JobProgress progress = JobProgress.parseFrom(record.value());
+      CompactProgress.validate(progress);
+      state.jobs().updateProgress(job.get(), progress);
     }
   }
 
--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -225,6 +225,7 @@
         scheduling.getLearnedDurations(),
         scheduling.getSpeculativeCopies(),
         scheduling.getTaskSeparation(),
+        scheduling.getCompactRecords(),
         scheduling.getLoadShedding());
   }
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolLoad.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolLoad.java
@@ -25,21 +25,24 @@
   }
 
   private void addStep(Task[] tasks) {
-    QueuedStep step = tasks[0].step;
-    ResourceVector reservation = Worker.reservationOf(step);
+    int assigned = 0;
+    int unassigned = 0;
     for (Task task : tasks) {
-      if (task.isDone()) {
-        continue;
-      }
-      if (step.getLongRunning()) {
-        longRunning = longRunning.plus(reservation);
-      } else if (task.isAssigned()) {
-        running = running.plus(reservation);
-      } else {
-        waiting = waiting.plus(reservation);
-        waitingTasks++;
+      if (task.isAssigned()) {
+        assigned++;
+      } else if (!task.isDone()) {
+        unassigned++;
       }
     }
+    QueuedStep step = tasks[0].step;
+    ResourceVector reservation = Worker.reservationOf(step);
+    if (step.getLongRunning()) {
+      longRunning = longRunning.plus(reservation.times(assigned + unassigned));
+      return;
+    }
+    running = running.plus(reservation.times(assigned));
+    waiting = waiting.plus(reservation.times(unassigned));
+    waitingTasks += unassigned;
   }
 
   ResourceVector longRunning() {
--- /dev/null
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/job/CompactProgress.java
@@ -0,0 +1,145 @@
+package org.flamingochute.scheduling.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.flamingochute.schema.scheduling.JobProgress;
+import org.flamingochute.schema.scheduling.TaskGroup;
+import org.flamingochute.schema.scheduling.TaskProgress;
+import org.flamingochute.schema.scheduling.WorkerIncarnation;
+
+/**
+ * Converts the progress of a job to and from a compact form.
+ *
+ * <p>Every node reads every progress record, most of them over slow links, and while the links are
+ * saturated callers learn late that their jobs have ended. The tasks of a step are mostly alike:
+ * they are done, or run on the few workers that had room for several of them. So tasks that differ
+ * only in their index form one group, and each worker is named once.
+ */
+public final class CompactProgress {
+  private CompactProgress() {}
+
+  private record GroupKey(
+      int occurrence,
+      int step,
+      TaskProgress.Phase phase,
+      int attempt,
+      int failures,
+      WorkerKeyFields worker) {}
+
+  private record WorkerKeyFields(String worker, long born) {}
+
+  /** Returns the progress with its tasks in groups, except those that a group cannot express. */
+  public static JobProgress compact(JobProgress progress) {
+    JobProgress.Builder compact = progress.toBuilder().clearTasks();
+    Map<WorkerKeyFields, Integer> positions = new HashMap<>();
+    Map<GroupKey, TaskGroup.Builder> groups = new HashMap<>();
+    List<TaskGroup.Builder> ordered = new ArrayList<>();
+    for (TaskProgress task : progress.getTasksList()) {
+      if (!isGroupable(task)) {
+        compact.addTasks(task);
+        continue;
+      }
+      TaskGroup.Builder group =
+          groups.computeIfAbsent(
+              keyOf(task),
+              key -> {
+                TaskGroup.Builder added = newGroup(key, positionOf(key, positions, compact));
+                ordered.add(added);
+                return added;
+              });
+      group.addIndexes(task.getIndex());
+    }
+    ordered.forEach(compact::addGroups);
+    return compact.build();
+  }
+
+  private static boolean isGroupable(TaskProgress task) {
+    return task.getCheckpoint().isEmpty() && !task.hasCopy() && !task.getStartRepeated();
+  }
+
+  private static GroupKey keyOf(TaskProgress task) {
+    return new GroupKey(
+        task.getOccurrence(),
+        task.getStep(),
+        task.getPhase(),
+        task.getAttempt(),
+        task.getFailures(),
+        new WorkerKeyFields(task.getWorker(), task.getWorkerBornMilliseconds()));
+  }
+
+  /** Returns the position of a group's worker, which is added to the record if it is new. */
+  private static int positionOf(
+      GroupKey key, Map<WorkerKeyFields, Integer> positions, JobProgress.Builder compact) {
+    if (key.worker().worker().isEmpty()) {
+      return 0;
+    }
+    return positions.computeIfAbsent(
+        key.worker(),
+        worker -> {
+          compact.addWorkers(
+              WorkerIncarnation.newBuilder()
+                  .setWorker(worker.worker())
+                  .setBornMilliseconds(worker.born()));
+          return compact.getWorkersCount();
+        });
+  }
+
+  private static TaskGroup.Builder newGroup(GroupKey key, int worker) {
+    return TaskGroup.newBuilder()
+        .setOccurrence(key.occurrence())
+        .setStep(key.step())
+        .setPhase(key.phase())
+        .setAttempt(key.attempt())
+        .setFailures(key.failures())
+        .setWorker(worker);
+  }
+
+  /** Returns the progress with one entry for each task. */
+  public static JobProgress expand(JobProgress progress) {
+    if (progress.getGroupsCount() == 0) {
+      return progress;
+    }
+    JobProgress.Builder expanded = progress.toBuilder().clearGroups().clearWorkers();
+    for (TaskGroup group : progress.getGroupsList()) {
+      TaskProgress.Builder task = taskOf(group, progress);
+      for (int index : group.getIndexesList()) {
+        expanded.addTasks(task.setIndex(index).build());
+      }
+    }
+    return expanded.build();
+  }
+
+  private static TaskProgress.Builder taskOf(TaskGroup group, JobProgress progress) {
+    TaskProgress.Builder task =
+        TaskProgress.newBuilder()
+            .setOccurrence(group.getOccurrence())
+            .setStep(group.getStep())
+            .setPhase(group.getPhase())
+            .setAttempt(group.getAttempt())
+            .setFailures(group.getFailures());
+    if (group.getWorker() == 0) {
+      return task;
+    }
+    if (group.getWorker() > progress.getWorkersCount()) {
+      throw new IllegalArgumentException(
+          "field worker: " + group.getWorker() + ", more than " + progress.getWorkersCount());
+    }
+    WorkerIncarnation worker = progress.getWorkers(group.getWorker() - 1);
+    return task.setWorker(worker.getWorker())
+        .setWorkerBornMilliseconds(worker.getBornMilliseconds());
+  }
+
+  /** Returns whether the progress has tasks, in either form. */
+  static boolean hasTasks(JobProgress progress) {
+    return progress.getTasksCount() > 0 || progress.getGroupsCount() > 0;
+  }
+
+  /** Checks that each group refers to a worker of the record, so that it can be expanded later. */
+  public static void validate(JobProgress progress) {
+    for (TaskGroup group : progress.getGroupsList()) {
+      taskOf(group, progress);
+    }
+  }
+}
--- a/scheduling/src/main/java/org/flamingochute/scheduling/job/StoredJob.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/job/StoredJob.java
@@ -28,7 +28,7 @@
 
   /** Returns the newest progress, or empty while none has been recorded. */
   public Optional<JobProgress> progress() {
-    return progress;
+    return progress.map(CompactProgress::expand);
   }
 
   /** Returns whether a caller has cancelled the job. */
@@ -67,6 +67,6 @@
   }
 
   private boolean hasStarted() {
-    return progress.isPresent() && progress.get().getTasksCount() > 0;
+    return progress.isPresent() && CompactProgress.hasTasks(progress.get());
   }
 }
