Build the set of optional parts with a builder

Cause: its constructor took a list of booleans, so each new part changed all callers.

Change: SchedulingFeatures.builder(). No change of behaviour, nothing measured.

--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -221,12 +221,13 @@
 
   private SchedulingFeatures features() {
     SchedulingSection scheduling = settings.getScheduling();
-    return new SchedulingFeatures(
-        scheduling.getLearnedDurations(),
-        scheduling.getSpeculativeCopies(),
-        scheduling.getTaskSeparation(),
-        scheduling.getCompactRecords(),
-        scheduling.getLoadShedding());
+    return SchedulingFeatures.builder()
+        .learnedDurations(scheduling.getLearnedDurations())
+        .speculativeCopies(scheduling.getSpeculativeCopies())
+        .taskSeparation(scheduling.getTaskSeparation())
+        .loadShedding(scheduling.getLoadShedding())
+        .compactRecords(scheduling.getCompactRecords())
+        .build();
   }
 
   private static long toMilliseconds(double seconds) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulingFeatures.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulingFeatures.java
@@ -6,16 +6,67 @@
  * @param learnedDurations learn the durations of tasks by queue and image
  * @param speculativeCopies start a second run of a slow task if its step allows copies
  * @param taskSeparation place images that slow each other down on different workers
- * @param compactRecords write the progress of jobs in a compact form
  * @param loadShedding refuse jobs in excess of a team's rate while their pool is overloaded
+ * @param compactRecords write the progress of jobs in a compact form
  */
 public record SchedulingFeatures(
     boolean learnedDurations,
     boolean speculativeCopies,
     boolean taskSeparation,
-    boolean compactRecords,
-    boolean loadShedding) {
+    boolean loadShedding,
+    boolean compactRecords) {
   /** No optional part. */
-  public static final SchedulingFeatures NONE =
-      new SchedulingFeatures(false, false, false, false, false);
+  public static final SchedulingFeatures NONE = builder().build();
+
+  /** Returns a builder without any optional part. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Builds a set of optional parts. */
+  public static final class Builder {
+    private boolean learnedDurations;
+    private boolean speculativeCopies;
+    private boolean taskSeparation;
+    private boolean loadShedding;
+    private boolean compactRecords;
+
+    private Builder() {}
+
+    /** Sets whether durations of tasks are learned. */
+    public Builder learnedDurations(boolean value) {
+      learnedDurations = value;
+      return this;
+    }
+
+    /** Sets whether slow tasks may get a second run. */
+    public Builder speculativeCopies(boolean value) {
+      speculativeCopies = value;
+      return this;
+    }
+
+    /** Sets whether images that slow each other down are kept apart. */
+    public Builder taskSeparation(boolean value) {
+      taskSeparation = value;
+      return this;
+    }
+
+    /** Sets whether excess jobs are refused while their pool is overloaded. */
+    public Builder loadShedding(boolean value) {
+      loadShedding = value;
+      return this;
+    }
+
+    /** Sets whether the progress of jobs is written in a compact form. */
+    public Builder compactRecords(boolean value) {
+      compactRecords = value;
+      return this;
+    }
+
+    /** Returns the set. */
+    public SchedulingFeatures build() {
+      return new SchedulingFeatures(
+          learnedDurations, speculativeCopies, taskSeparation, loadShedding, compactRecords);
+    }
+  }
 }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/load/WrongEstimates.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/load/WrongEstimates.java
@@ -58,7 +58,9 @@
   private int jobsInTime;
 
   WrongEstimates(long seed, boolean learned, List<Image> images) {
-    fleet = new SimulatedFleet(declaration(), new SchedulingFeatures(learned, false, false, false));
+    fleet =
+        new SimulatedFleet(
+            declaration(), SchedulingFeatures.builder().learnedDurations(learned).build());
     random = new Random(seed);
     this.images = List.copyOf(images);
   }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomSchedule.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomSchedule.java
@@ -50,7 +50,7 @@
 
   /** Creates a schedule with a combination of optional parts that its seed determines. */
   RandomSchedule(long seed) {
-    this(seed, new SchedulingFeatures(seed % 2 == 0, false, false, false));
+    this(seed, SchedulingFeatures.builder().learnedDurations(seed % 2 == 0).build());
   }
 
   RandomSchedule(long seed, SchedulingFeatures features) {
