Learn which fillers raise tail latencies, and keep them apart

Cause: placement kept every filler away from every serving task with the same weight. Where fillers did not fit on the workers without serving tasks, harmless fillers took that room and disturbing ones ran beside serving tasks.

Change: InterferenceModel learns the effect of each pair of a serving and a filler image from the reported tails, as medians of exponentially weighted means by worker. WorkerSelector takes the penalty from InterferencePenalty: 90 for an interfering pair, 50 for an unknown one as before, none for a harmless one. With the switch task_separation off the model gets no samples, so all pairs are unknown. Workers count the images of their serving tasks and fillers, so that a score no longer visits all tasks. With the switch on, the progress of paced runs no longer makes their worker look slow.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -11,6 +11,7 @@
 import org.flamingochute.scheduling.fleet.Machine;
 import org.flamingochute.scheduling.fleet.Queue;
 import org.flamingochute.scheduling.fleet.WaveRequest;
+import org.flamingochute.scheduling.interference.InterferenceModel;
 import org.flamingochute.scheduling.job.StoredJob;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
@@ -60,6 +61,8 @@
   private final PoolPlanner poolPlanner;
   private final ProgressMonitor progressMonitor;
   private final FillerPacer fillerPacer;
+  private final InterferenceModel interferenceModel = new InterferenceModel();
+  private final InterferenceObserver interferenceObserver;
   private final WorkerEvacuator workerEvacuator;
   private FleetDeclaration declaration;
   private boolean machineCommandsAllowed = true;
@@ -97,12 +100,14 @@
     workerTracker = new WorkerTracker(workers, lifecycle, settings, inheritedLeasesExpireAt);
     statusProcessor = new WorkerStatusProcessor(workers, workerTracker, jobs, lifecycle, outbox);
     commandTracker = new CommandTracker(workers, workerTracker, lifecycle);
-    WorkerSelector workerSelector = new WorkerSelector(workerHealth);
+    WorkerSelector workerSelector =
+        new WorkerSelector(workerHealth, new InterferencePenalty(interferenceModel));
     taskPlacer = new TaskPlacer(workers, jobs, teamUsage, lifecycle, workerSelector);
     passedOverTaskLog = new PassedOverTaskLog(workers, jobs, teamUsage, workerSelector);
     workerEvacuator = new WorkerEvacuator(lifecycle);
     progressMonitor = new ProgressMonitor(workers, lifecycle);
     fillerPacer = new FillerPacer(workers, outbox);
+    interferenceObserver = new InterferenceObserver(workers, interferenceModel);
     MaintenanceOrder maintenanceOrder = new MaintenanceOrder(machines, workers);
     waveController =
         new WaveController(workers, machines, maintenanceOrder, workerEvacuator, outbox);
@@ -348,6 +353,9 @@
     stopLongRunningTasksOnDrainingWorkers(now);
     progressMonitor.update(now);
     fillerPacer.updatePaces(now);
+    if (settings.features().taskSeparation()) {
+      interferenceObserver.update(now);
+    }
     uncordonWorkers();
     if (now >= machineCommandsAllowedFrom && machineCommandsAllowed) {
       waveController.advance(now);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -100,6 +100,12 @@
 
   int pacePercent = FULL_PERCENT;
 
+  /**
+   * True once the current run was found to be paced, so that its progress does not show the speed
+   * of its worker. Only maintained while tasks are separated.
+   */
+  boolean wasPaced;
+
   static final int FULL_PERCENT = 100;
 
   /** Pace after a pace command that was not confirmed. */
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -63,6 +63,7 @@
     task.percentChangedAt = now;
     task.statusReceivedAt = now;
     task.pacePercent = Task.FULL_PERCENT;
+    task.wasPaced = false;
     task.reportedCheckpoint = task.checkpoint;
     addToWorker(task, worker);
     outbox.markChanged(task.job);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
@@ -55,6 +55,12 @@
   /** Tasks that may have a run on this worker. */
   final Map<TaskId, Task> tasks = new LinkedHashMap<>();
 
+  /** Images of the tasks with a tail latency target. */
+  final ImageCounts servingImages = new ImageCounts();
+
+  /** Images of the fillers, tasks that use idle capacity. */
+  final ImageCounts fillerImages = new ImageCounts();
+
   private ResourceVector usedCapacity = ResourceVector.ZERO;
 
   Worker(WorkerReport report, long leaseExpiresAt) {
@@ -76,12 +82,24 @@
   void add(Task task) {
     if (tasks.put(task.id, task) == null) {
       usedCapacity = usedCapacity.plus(reservationOf(task.step));
+      if (task.step.getTailTargetMilliseconds() > 0) {
+        servingImages.add(task.step.getImage());
+      }
+      if (task.step.getFiller()) {
+        fillerImages.add(task.step.getImage());
+      }
     }
   }
 
   void remove(Task task) {
     if (tasks.remove(task.id, task)) {
       usedCapacity = usedCapacity.minus(reservationOf(task.step));
+      if (task.step.getTailTargetMilliseconds() > 0) {
+        servingImages.remove(task.step.getImage());
+      }
+      if (task.step.getFiller()) {
+        fillerImages.remove(task.step.getImage());
+      }
     }
   }
 
@@ -121,21 +139,11 @@
 
   /** Returns whether a task with a tail latency target is on this worker. */
   boolean hasServingTask() {
-    for (Task task : tasks.values()) {
-      if (task.step.getTailTargetMilliseconds() > 0) {
-        return true;
-      }
-    }
-    return false;
+    return !servingImages.isEmpty();
   }
 
   /** Returns whether a filler, a task that uses idle capacity, is on this worker. */
   boolean hasFiller() {
-    for (Task task : tasks.values()) {
-      if (task.step.getFiller()) {
-        return true;
-      }
-    }
-    return false;
+    return !fillerImages.isEmpty();
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerSelector.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerSelector.java
@@ -12,16 +12,18 @@
  * <p>Among the workers that can run the task, the one with the highest score is selected. In order
  * of weight, the score is lower for a worker on which the task has failed and for a slow one,
  * higher for one in the task's preferred rack, and lower for a worker with serving tasks if the
- * task is a filler, and vice versa. The weights are added, so a combination may outweigh a larger
- * one: a worker in the preferred rack on which the task has failed ranks above a slow one
- * elsewhere. Among equals the fullest worker is selected, so that others stay empty and can be
- * moved or maintained.
+ * task is a filler, and vice versa, unless their images are known to be harmless to each other. The
+ * weights are added, so a combination may outweigh a larger one: a worker in the preferred rack on
+ * which the task has failed ranks above a slow one elsewhere. Among equals the fullest worker is
+ * selected, so that others stay empty and can be moved or maintained.
  */
 final class WorkerSelector {
   private final WorkerHealth workerHealth;
+  private final InterferencePenalty interferencePenalty;
 
-  WorkerSelector(WorkerHealth workerHealth) {
+  WorkerSelector(WorkerHealth workerHealth, InterferencePenalty interferencePenalty) {
     this.workerHealth = workerHealth;
+    this.interferencePenalty = interferencePenalty;
   }
 
   /**
@@ -117,10 +119,9 @@
 
   private static final double PREFERRED_RACK_WEIGHT = 100;
   private static final double FAILED_BEFORE_WEIGHT = 200;
-  private static final double INTERFERENCE_WEIGHT = 50;
   private static final double SLOW_WEIGHT = 150;
 
-  private static double score(Task task, Worker worker) {
+  private double score(Task task, Worker worker) {
     double score = worker.usedCapacity().dominantShare(worker.report.capacity());
     String preferred = task.step.getPreferredRack();
     if (!preferred.isEmpty() && worker.report.labels().contains(preferred)) {
@@ -132,9 +133,6 @@
     if (worker.slow) {
       score -= SLOW_WEIGHT;
     }
-    boolean interferes =
-        task.step.getFiller() && worker.hasServingTask()
-            || task.step.getTailTargetMilliseconds() > 0 && worker.hasFiller();
-    return interferes ? score - INTERFERENCE_WEIGHT : score;
+    return score - interferencePenalty.of(task, worker);
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
@@ -234,7 +234,7 @@
     }
     task.statusReceivedAt = now;
     task.reportedUsage = runningTask.usage();
-    if (!task.step.getLongRunning()) {
+    if (!task.step.getLongRunning() && !task.wasPaced) {
       task.worker.ifPresent(
           worker ->
               worker.speed.observe(
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedExecution.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedExecution.java
@@ -70,6 +70,7 @@
             durations.getOrDefault(start.task(), DEFAULT_DURATION_MILLISECONDS));
     run.fails = failingJobs.contains(start.task().job());
     run.longRunning = runs.isLongRunning(start.task());
+    run.step = runs.stepOf(start.task());
     long deadline = worker.leaseDeadline(start.worker(), at + leaseMilliseconds, now());
     boolean isNew = !worker.has(start.task(), start.attempt());
     StartOutcome outcome = worker.start(start, leader.epoch, deadline, now(), run);
@@ -90,6 +91,10 @@
     }
   }
 
+  void pace(SchedulerCommand.PaceTask pace) {
+    fleet.findWorker(pace.worker().id()).ifPresent(worker -> worker.pace(pace));
+  }
+
   MachineOutcome move(SchedulerCommand.MoveMachine move, Scheduler scheduler) {
     return fleet.move(move, scheduler) ? MachineOutcome.DONE : MachineOutcome.BUSY;
   }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -15,6 +15,7 @@
 import org.flamingochute.scheduling.core.Scheduler;
 import org.flamingochute.scheduling.core.SchedulerCommand;
 import org.flamingochute.scheduling.core.SchedulerSettings;
+import org.flamingochute.scheduling.core.SchedulingFeatures;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.job.JobPhase;
 import org.flamingochute.scheduling.job.StoredJob;
@@ -32,18 +33,15 @@
   private static final long RENEWAL_INTERVAL_MILLISECONDS = 100;
   private static final long MACHINE_LIST_INTERVAL_MILLISECONDS = 250;
 
-  private final SchedulerSettings settings =
-      SchedulerSettings.builder()
-          .maximumLeaseMilliseconds(SimulatedWorker.MAXIMUM_LEASE_MILLISECONDS)
-          .build();
+  private final SchedulerSettings settings;
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
   private final SimulatedMachines machines = new SimulatedMachines();
   private final SimulatedStore store = new SimulatedStore();
   private final SimulatedRuns runs = new SimulatedRuns(store.jobs());
   private final SimulatedNetwork network = new SimulatedNetwork();
   private final SimulatedReports reports = new SimulatedReports();
-  private final SimulatedExecution execution =
-      new SimulatedExecution(this, runs, settings.leaseMilliseconds());
+  private final SimulatedTails tails = new SimulatedTails();
+  private final SimulatedExecution execution;
   private final List<SchedulerCommand> commandsOfFormerLeaders = new ArrayList<>();
 
   /** Leaders that have been replaced and have not noticed it. */
@@ -57,7 +55,18 @@
 
   /** Creates a fleet without workers. */
   public SimulatedFleet(FleetDeclaration declaration) {
+    this(declaration, SchedulingFeatures.NONE);
+  }
+
+  /** Creates a fleet without workers whose leaders have optional parts enabled. */
+  public SimulatedFleet(FleetDeclaration declaration, SchedulingFeatures features) {
     this.declaration = declaration;
+    settings =
+        SchedulerSettings.builder()
+            .maximumLeaseMilliseconds(SimulatedWorker.MAXIMUM_LEASE_MILLISECONDS)
+            .features(features)
+            .build();
+    execution = new SimulatedExecution(this, runs, settings.leaseMilliseconds());
     leader = newLeader(PredecessorState.OVER);
   }
 
@@ -84,6 +93,7 @@
 
   private void add(SimulatedWorker worker) {
     worker.checkpointMilliseconds = checkpointMilliseconds;
+    worker.tails = tails;
     workers.put(worker.name, worker);
     network.connect(worker);
     list(worker);
@@ -172,6 +182,11 @@
     scheduler().onJobCancelled(id, now, now);
   }
 
+  /** Returns the tail latencies that workers report, to change their causes. */
+  public SimulatedTails tails() {
+    return tails;
+  }
+
   /** Returns the store, to inject faults. */
   public SimulatedStore store() {
     return store;
@@ -247,6 +262,7 @@
         leaders().forEach(each -> each.renewAfterEnds(worker));
       }
     }
+    tails.advance(workers.values(), STEP_DURATION_MILLISECONDS);
     if (now % RENEWAL_INTERVAL_MILLISECONDS == 0) {
       leaders().forEach(SimulatedLeader::renewAll);
     }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedLeader.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedLeader.java
@@ -133,7 +133,10 @@
       case SchedulerCommand.StopTask stop -> stop(stop);
       case SchedulerCommand.AcknowledgeFinishedRuns ends ->
           renewals.acknowledge(ends.worker(), ends.number());
-      case SchedulerCommand.PaceTask pace -> scheduler.onPaceAnswered(pace, true, now);
+      case SchedulerCommand.PaceTask pace -> {
+        execution.pace(pace);
+        scheduler.onPaceAnswered(pace, true, now);
+      }
       case SchedulerCommand.MoveMachine move ->
           scheduler.onMoveAnswered(move, execution.move(move, scheduler), now);
       case SchedulerCommand.MaintainMachine maintenance ->
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedRuns.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedRuns.java
@@ -120,7 +120,7 @@
     return stepOf(task).getLongRunning();
   }
 
-  private QueuedStep stepOf(TaskId task) {
+  QueuedStep stepOf(TaskId task) {
     return stepOf(task, task.step());
   }
 
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWorker.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedWorker.java
@@ -18,6 +18,7 @@
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.scheduling.worker.WorkerStatus;
+import org.flamingochute.schema.scheduling.QueuedStep;
 
 /**
  * A worker that implements leases, fencing tokens and lists of finished runs like the platform's.
@@ -55,6 +56,9 @@
   /** Time at which the lease was last found to have expired. */
   long lapsedAt = Long.MIN_VALUE;
 
+  /** Tail latencies that it reports. */
+  SimulatedTails tails = new SimulatedTails();
+
   long startedAt;
   long leaseExpiresAt;
   private long highestFencingToken;
@@ -75,6 +79,8 @@
     String checkpoint = "";
     boolean fails;
     boolean longRunning;
+    QueuedStep step = QueuedStep.getDefaultInstance();
+    int pacePercent = 100;
 
     Run(TaskId task, int attempt, long durationMilliseconds) {
       this.task = task;
@@ -188,7 +194,9 @@
     finished.removeIf(end -> end.number() <= acknowledged);
     List<RunningTask> running = new ArrayList<>();
     for (Run run : runs.values()) {
-      running.add(new RunningTask(run.task, run.attempt, run.checkpoint, run.percent(), 0));
+      running.add(
+          new RunningTask(
+              run.task, run.attempt, run.checkpoint, run.percent(), tails.report(this, run)));
     }
     return new WorkerStatus(startedAt, 1, running, finished);
   }
@@ -231,6 +239,14 @@
     return true;
   }
 
+  /** Sets the pace of a run. */
+  void pace(SchedulerCommand.PaceTask pace) {
+    Run run = runs.get(pace.task());
+    if (run != null && run.attempt == pace.attempt()) {
+      run.pacePercent = pace.percent();
+    }
+  }
+
   /** Advances the runs by the given time; returns those that ended. */
   List<FinishedTask> advance(long now, long milliseconds) {
     int before = finished.size();
@@ -243,7 +259,8 @@
         endRun(run, EndReason.FAILED);
         continue;
       }
-      run.workedMilliseconds += stallsRuns ? 0 : milliseconds / slowdownFactor;
+      run.workedMilliseconds +=
+          stallsRuns ? 0 : milliseconds * run.pacePercent / 100 / slowdownFactor;
       if (checkpointMilliseconds > 0 && run.workedMilliseconds % checkpointMilliseconds == 0) {
         run.save();
       }
