Play random schedules with fillers, serving tasks and their separation

Cause: the random schedules had neither fillers nor serving tasks, so pacing and separation were never played together with faults.

Change: RandomSchedule takes the optional parts. With task_separation its long-running tasks are serving tasks and the others fillers of two images, of which one disturbs until the faults end. The existing schedules are unchanged.

--- a/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomJobs.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomJobs.java
@@ -18,12 +18,15 @@
   private static final int MAXIMUM_TASKS = 4;
   private static final int MAXIMUM_TASK_MILLISECONDS = 2_000;
   private static final long ENDLESS_MILLISECONDS = 1_000_000;
+  private static final long TAIL_TARGET_MILLISECONDS = 200;
+  static final String DISTURBING_IMAGE = "disturbing";
 
   private final Random random;
   private final SimulatedFleet fleet;
   private final String queue;
   private final int maximumAttempts;
   private final Map<JobId, QueuedJob> jobs = new LinkedHashMap<>();
+  private boolean serving;
 
   RandomJobs(Random random, SimulatedFleet fleet, String queue, int maximumAttempts) {
     this.random = random;
@@ -32,6 +35,11 @@
     this.maximumAttempts = maximumAttempts;
   }
 
+  /** Makes long-running tasks serving tasks, and the others fillers of two images. */
+  void addServingTasksAndFillers() {
+    serving = true;
+  }
+
   /** Submits or cancels a job; returns a description. */
   String next() {
     int kind = random.nextInt(20);
@@ -48,7 +56,11 @@
             .setPolicy(QueuePolicy.newBuilder().setMaximumAttempts(maximumAttempts))
             .setAcceptedMilliseconds(fleet.now());
     if (kind < 5) {
-      job.addSteps(randomStep().setLongRunning(true));
+      QueuedStep.Builder step = randomStep().setLongRunning(true);
+      if (serving) {
+        step.setImage("web").setTailTargetMilliseconds(TAIL_TARGET_MILLISECONDS);
+      }
+      job.addSteps(step);
       return submit(id, job.build(), ENDLESS_MILLISECONDS, false);
     }
     int steps = 1 + random.nextInt(MAXIMUM_STEPS);
@@ -57,6 +69,9 @@
       if (step > 0 && random.nextBoolean()) {
         added.addDependencies(step - 1);
       }
+      if (serving) {
+        added.setFiller(true).setImage(jobs.size() % 2 == 0 ? DISTURBING_IMAGE : "calm");
+      }
       job.addSteps(added);
     }
     long taskMilliseconds = 50 + 10 * random.nextInt(MAXIMUM_TASK_MILLISECONDS / 10 - 5);
--- a/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomSchedule.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomSchedule.java
@@ -7,6 +7,7 @@
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.identity.QueueId;
 import org.flamingochute.decision.placement.ResourceVector;
+import org.flamingochute.scheduling.core.SchedulingFeatures;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.Pool;
 import org.flamingochute.scheduling.fleet.Queue;
@@ -40,17 +41,36 @@
   private static final long END_MILLISECONDS = 28_000;
 
   private static final long CHECK_INTERVAL_MILLISECONDS = 100;
+  private static final double USUAL_TAIL = 0.3;
+
+  /** Fillers of the disturbing image are paced where there are several. */
+  private static final double DISTURBING_RISE = 0.25;
+
+  /** Time within which paused fillers return to full pace once they do not disturb any more. */
+  private static final long SPEED_UP_MILLISECONDS = 16_000;
 
   private final Random random;
-  private final SimulatedFleet fleet = new SimulatedFleet(declaration());
+  private final SchedulingFeatures features;
+  private final SimulatedFleet fleet;
   private final List<String> trace = new ArrayList<>();
   private final RandomJobs jobs;
   private final RandomFaults faults;
 
   RandomSchedule(long seed) {
+    this(seed, SchedulingFeatures.NONE);
+  }
+
+  RandomSchedule(long seed, SchedulingFeatures features) {
+    this.features = features;
     random = new Random(seed);
+    fleet = new SimulatedFleet(declaration(), features);
     jobs = new RandomJobs(random, fleet, QUEUE, MAXIMUM_ATTEMPTS);
     faults = new RandomFaults(random, fleet, jobs);
+    if (features.taskSeparation()) {
+      jobs.addServingTasksAndFillers();
+      fleet.tails().setUsualTail(USUAL_TAIL);
+      fleet.tails().setRise(RandomJobs.DISTURBING_IMAGE, DISTURBING_RISE);
+    }
   }
 
   private static FleetDeclaration declaration() {
@@ -94,9 +114,18 @@
     }
     faults.endAll();
     trace.add(fleet.now() + " no more faults");
+    endInterference();
     checkEnds();
   }
 
+  /** Ends the interference, since paused fillers never end. */
+  private void endInterference() {
+    if (features.taskSeparation()) {
+      fleet.tails().setRise(RandomJobs.DISTURBING_IMAGE, 0);
+      fleet.advance(SPEED_UP_MILLISECONDS);
+    }
+  }
+
   private void checkEnds() {
     long latest = fleet.now() + END_MILLISECONDS;
     while (!jobs.openJobs().isEmpty() && fleet.now() < latest) {
--- a/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomScheduleTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomScheduleTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import org.flamingochute.scheduling.core.SchedulingFeatures;
 import org.flamingochute.scheduling.knownred.KnownRedExtension;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -45,12 +46,23 @@
   // Guards against TWICE, LOST, ORDER and UNASKED under combinations of faults.
   @Test
   void everyInvariantHoldsUnderRandomFaults() {
+    runSchedules(Long.getLong("schedules", DEFAULT_SCHEDULES), SchedulingFeatures.NONE);
+  }
+
+  // Guards against the same with fillers and serving tasks, which are paced and separated.
+  @Test
+  void everyInvariantHoldsWithSeparationOfTasks() {
+    runSchedules(
+        Long.getLong("schedules", DEFAULT_SCHEDULES) / 5,
+        new SchedulingFeatures(false, false, true, false));
+  }
+
+  private static void runSchedules(long count, SchedulingFeatures features) {
     long first = Long.getLong("firstSchedule", DEFAULT_FIRST_SEED);
-    long count = Long.getLong("schedules", DEFAULT_SCHEDULES);
     List<String> failures = new ArrayList<>();
     for (long seed = first; seed < first + count; seed++) {
       try {
-        new RandomSchedule(seed).run();
+        new RandomSchedule(seed, features).run();
       } catch (AssertionError e) {
         failures.add("seed " + seed + ": " + e.getMessage());
       }
