--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -69,6 +69,7 @@
     task.percentChangedAt = now;
     task.statusReceivedAt = now;
     task.pacePercent = Task.FULL_PERCENT;
+    task.wasPaced = false;
     task.reportedCheckpoint = task.checkpoint;
     task.timer.prepare(!task.checkpoint.isEmpty());
     addToWorker(task, worker);
--- a/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomScheduleTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomScheduleTest.java
@@ -46,12 +46,23 @@
   // Guards against TWICE, LOST, ORDER and UNASKED under combinations of faults.
   @Test
   void everyInvariantHoldsUnderRandomFaults() {
+    runSchedules(Long.getLong("schedules", DEFAULT_SCHEDULES), SchedulingFeatures.NONE);
+  }
+
+  // Guards against the same with fillers and serving tasks, which are paced and separated.
+  @Test
+  void everyInvariantHoldsWithSeparationOfTasks() {
+    runSchedules(
+        Long.getLong("schedules", DEFAULT_SCHEDULES) / 5,
+        SchedulingFeatures.builder().taskSeparation(true).build());
+  }
+
+  private static void runSchedules(long count, SchedulingFeatures features) {
     long first = Long.getLong("firstSchedule", DEFAULT_FIRST_SEED);
-    long count = Long.getLong("schedules", DEFAULT_SCHEDULES);
     List<String> failures = new ArrayList<>();
     for (long seed = first; seed < first + count; seed++) {
       try {
-        new RandomSchedule(seed).run();
+        new RandomSchedule(seed, features).run();
       } catch (AssertionError e) {
         failures.add("seed " + seed + ": " + e.getMessage());
       }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -40,6 +40,7 @@
   private final SimulatedRuns runs = new SimulatedRuns(store.jobs());
   private final SimulatedNetwork network = new SimulatedNetwork();
   private final SimulatedReports reports = new SimulatedReports();
+  private final SimulatedTails tails = new SimulatedTails();
   private final SimulatedExecution execution;
   private final List<SchedulerCommand> commandsOfFormerLeaders = new ArrayList<>();
 
@@ -92,6 +93,7 @@
 
   private void add(SimulatedWorker worker) {
     worker.checkpointMilliseconds = checkpointMilliseconds;
+    worker.tails = tails;
     workers.put(worker.name, worker);
     network.connect(worker);
     list(worker);
@@ -180,6 +182,11 @@
     scheduler().onJobCancelled(id, now, now);
   }
 
+  /** Returns the tail latencies that workers report, to change their causes. */
+  public SimulatedTails tails() {
+    return tails;
+  }
+
   /** Returns the store, to inject faults. */
   public SimulatedStore store() {
     return store;
@@ -256,6 +263,7 @@
         leaders().forEach(each -> each.renewAfterEnds(worker));
       }
     }
+    tails.advance(workers.values(), STEP_DURATION_MILLISECONDS);
     if (now % RENEWAL_INTERVAL_MILLISECONDS == 0) {
       leaders().forEach(SimulatedLeader::renewAll);
     }
