Refuse jobs of a hot team that its pool cannot complete in time

Cause: the excess jobs of a team that submits several times its rate during a load peak are accepted, wait behind all others and end when they are of no use to their callers.

Ruled out: a refusal from what a node has read so far. Jobs of other nodes arrive in batches of 400 ms, so the job may be stored, and each node would take the tokens refilled in between for itself. A record of its own for the load: it would cost appends.

Change: with load_shedding on, the leader writes predicted waits (PoolWaits) with an append that happens anyway. A node refuses a job with 429 and Retry-After (JobAdmission) after it has read all stored jobs, unless the load is old or unknown, the job is within its team's rate, or an own append of it has no known outcome. With the switch off nothing is computed, written, read or refused. NodeCluster can pass further settings and declare a rate.

--- a/node/src/main/java/org/flamingochute/node/FleetState.java
+++ b/node/src/main/java/org/flamingochute/node/FleetState.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.flamingochute.decision.identity.Identifiers;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.JobId;
@@ -73,12 +74,21 @@
   private final Map<Long, WaveRequest> waves = new HashMap<>();
   private Optional<FleetDeclaration> declaration = Optional.empty();
   private Optional<Listener> listener = Optional.empty();
+  private Consumer<QueuedJob> newJobListener = job -> {};
 
   /** Sets the listener for changes. */
   public void setListener(Optional<Listener> newListener) {
     listener = newListener;
   }
 
+  /**
+   * Sets the listener for jobs that were stored recently: those that become known for the first
+   * time, except for those in a load of the whole topic.
+   */
+  public void setNewJobListener(Consumer<QueuedJob> newListener) {
+    newJobListener = newListener;
+  }
+
   /** Returns the declaration in force, or empty before the first one. */
   public Optional<FleetDeclaration> declaration() {
     return declaration;
@@ -230,7 +240,7 @@
           if (!record.isTombstone()) {
             presentKeys.add(record.key());
           }
-          applyIntake(record);
+          applyIntake(record, job -> {});
         }
         for (JobId job : storedBeforeLoad) {
           if (!presentKeys.contains(ScheduleKeys.job(job))) {
@@ -242,19 +252,19 @@
 
       @Override
       public void onRecord(StoreRecord record) {
-        applyIntake(record);
+        applyIntake(record, newJobListener);
       }
     };
   }
 
-  private void applyIntake(StoreRecord record) {
+  private void applyIntake(StoreRecord record, Consumer<QueuedJob> newJobReceiver) {
     try {
       Optional<JobId> job = ScheduleKeys.jobOf(record.key());
       Optional<JobId> cancelled = ScheduleKeys.cancelledJobOf(record.key());
       if (record.isTombstone()) {
         job.ifPresent(jobs::delete);
       } else if (job.isPresent()) {
-        applyJob(job.get(), QueuedJob.parseFrom(record.value()));
+        applyJob(job.get(), QueuedJob.parseFrom(record.value()), newJobReceiver);
       } else if (cancelled.isPresent()) {
         applyCancellation(cancelled.get());
       }
@@ -265,7 +275,15 @@
 
   /** Applies a job that is durable in the store. */
   public void applyJob(JobId id, QueuedJob job) {
+    applyJob(id, job, newJobListener);
+  }
+
+  private void applyJob(JobId id, QueuedJob job, Consumer<QueuedJob> newJobReceiver) {
+    final boolean isNew = jobs.find(id).flatMap(StoredJob::definition).isEmpty();
     StoredJob storedJob = jobs.define(id, job);
+    if (isNew) {
+      newJobReceiver.accept(job);
+    }
     listener.ifPresent(receiver -> receiver.onJobStored(storedJob));
   }
 
--- a/node/src/main/java/org/flamingochute/node/front/HttpDependencies.java
+++ b/node/src/main/java/org/flamingochute/node/front/HttpDependencies.java
@@ -1,7 +1,9 @@
 package org.flamingochute.node.front;
 
 import io.activej.eventloop.Eventloop;
+import java.util.Optional;
 import org.flamingochute.node.FleetState;
+import org.flamingochute.node.LoadShedding;
 import org.flamingochute.node.NodeClock;
 import org.flamingochute.node.NodeMetrics;
 import org.flamingochute.node.store.IntakeWriter;
@@ -16,6 +18,7 @@
  * @param freshness age of this node's state of the jobs
  * @param metrics counters and latency histograms
  * @param jobLimits limits of the size of a job
+ * @param loadShedding refusal of jobs for load, if the settings enable it
  */
 public record HttpDependencies(
     Eventloop loop,
@@ -24,4 +27,5 @@
     IntakeWriter intake,
     JobFreshness freshness,
     NodeMetrics metrics,
-    JobLimits jobLimits) {}
+    JobLimits jobLimits,
+    Optional<LoadShedding> loadShedding) {}
--- a/node/src/main/java/org/flamingochute/node/front/JobServlet.java
+++ b/node/src/main/java/org/flamingochute/node/front/JobServlet.java
@@ -17,6 +17,7 @@
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.TeamId;
 import org.flamingochute.node.FleetState;
+import org.flamingochute.node.LoadShedding;
 import org.flamingochute.node.NodeClock;
 import org.flamingochute.node.NodeMetrics;
 import org.flamingochute.node.store.IntakeResult;
@@ -26,6 +27,7 @@
 import org.flamingochute.platform.wire.ResponseCodec;
 import org.flamingochute.platform.wire.SubmissionCodec;
 import org.flamingochute.platform.wire.WireException;
+import org.flamingochute.scheduling.admission.JobRefusal;
 import org.flamingochute.scheduling.job.JobPhase;
 import org.flamingochute.scheduling.job.StoredJob;
 import org.flamingochute.schema.scheduling.QueuedJob;
@@ -50,6 +52,7 @@
   private final JobFreshness freshness;
   private final NodeMetrics metrics;
   private final JobLimits limits;
+  private final Optional<LoadShedding> loadShedding;
   private boolean closing;
   private int openCallCount;
 
@@ -61,6 +64,7 @@
     this.freshness = dependencies.freshness();
     this.metrics = dependencies.metrics();
     this.limits = dependencies.jobLimits();
+    this.loadShedding = dependencies.loadShedding();
   }
 
   /** Makes all further responses request that the caller close the connection. */
@@ -263,7 +267,7 @@
                     CallResponse.error(
                         CallResponse.CONTENT_TOO_LARGE, "the body is over " + limit + " bytes"));
               }
-              return store(request, id, bytesOf(body), startedAt);
+              return store(request, id, bytesOf(body), startedAt, JobsRead.NOT_TRIED);
             });
   }
 
@@ -271,8 +275,19 @@
     return body.getArray();
   }
 
-  /** Authorizes again after the body was read, since the declaration may have changed meanwhile. */
-  private Promise<CallResponse> store(HttpRequest request, JobId id, byte[] body, long startedAt) {
+  /** Whether all stored jobs have been read during a call. */
+  private enum JobsRead {
+    NOT_TRIED,
+    FAILED,
+    COMPLETE
+  }
+
+  /**
+   * Stores a job. Authorizes again, since the declaration may have changed while the body or the
+   * stored jobs were read.
+   */
+  private Promise<CallResponse> store(
+      HttpRequest request, JobId id, byte[] body, long startedAt, JobsRead jobsRead) {
     Either<CallResponse, CallAuthorizer.AuthorizedCall> call = authorizer.authorize(request);
     if (call.isLeft()) {
       return Promise.of(call.getLeft());
@@ -298,10 +313,50 @@
                   + " bytes, more than "
                   + limits.maximumDefinitionBytes()));
     }
+    if (jobsRead == JobsRead.NOT_TRIED && mayRefuse(id, job)) {
+      return readJobs().then(result -> store(request, id, body, startedAt, result));
+    }
+    if (jobsRead == JobsRead.COMPLETE) {
+      Optional<JobRefusal> refusal = loadShedding.flatMap(shedding -> shedding.refusalOf(id, job));
+      if (refusal.isPresent()) {
+        return Promise.of(refusedResponse(refusal.get()));
+      }
+    }
+    return appendJob(id, job, remainingMilliseconds(request, call.get(), startedAt));
+  }
+
+  private boolean mayRefuse(JobId id, QueuedJob job) {
+    return loadShedding.map(shedding -> shedding.mayRefuse(id, job)).orElse(false);
+  }
+
+  /**
+   * Reads the jobs that other nodes have stored. A refusal promises that the job never runs, so the
+   * job must not be among them, and their teams' rates must be counted.
+   */
+  private Promise<JobsRead> readJobs() {
+    SettablePromise<JobsRead> promise = new SettablePromise<>();
+    freshness
+        .refresh()
+        .thenAccept(complete -> promise.set(complete ? JobsRead.COMPLETE : JobsRead.FAILED));
+    return promise;
+  }
+
+  private static CallResponse refusedResponse(JobRefusal refusal) {
+    return CallResponse.error(
+        CallResponse.TOO_MANY_REQUESTS,
+        refusal.retryAfterSeconds(),
+        "the team exceeds its rate, and the pool cannot complete the job in time: predicted wait "
+            + refusal.predictedWaitMilliseconds()
+            + " ms");
+  }
+
+  private Promise<CallResponse> appendJob(JobId id, QueuedJob job, long timeoutMilliseconds) {
+    loadShedding.ifPresent(shedding -> shedding.onAppendBegun(id));
     KeyedValue record = new KeyedValue(ScheduleKeys.job(id), job.toByteArray());
-    return append(record, remainingMilliseconds(request, call.get(), startedAt))
+    return append(record, timeoutMilliseconds)
         .map(
             result -> {
+              loadShedding.ifPresent(shedding -> shedding.onAppendEnded(id, result));
               if (result == IntakeResult.STORED) {
                 state.applyJob(id, job);
               }
--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
@@ -302,6 +302,10 @@
     if (records.isEmpty() || termRenewal.mustRecordLeaseExpiry(clock.steadyMilliseconds())) {
       records.add(nextTermRecord());
     }
+    scheduler
+        .takeFleetLoad()
+        .ifPresent(
+            load -> records.add(new KeyedValue(ScheduleKeys.FLEET_LOAD, load.toByteArray())));
     return records;
   }
 
--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
@@ -11,6 +11,7 @@
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.node.ClockReading;
 import org.flamingochute.node.FleetState;
+import org.flamingochute.node.LoadShedding;
 import org.flamingochute.node.LogText;
 import org.flamingochute.node.NodeClock;
 import org.flamingochute.node.store.ScheduleKeys;
@@ -26,6 +27,7 @@
 import org.flamingochute.scheduling.leadership.LeaderEpoch;
 import org.flamingochute.scheduling.leadership.LeaderMonitor;
 import org.flamingochute.scheduling.worker.WorkerReport;
+import org.flamingochute.schema.scheduling.FleetLoad;
 import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.LeaderTerm;
 import org.flamingochute.schema.scheduling.PoolHistory;
@@ -50,6 +52,7 @@
   private final LeaderCandidate candidate;
   private final Map<Long, WaveProgress> waveProgress = new HashMap<>();
   private Optional<PoolHistory> poolHistory = Optional.empty();
+  private Optional<LoadShedding> loadShedding = Optional.empty();
   private Optional<StoreFollower> scheduleFollower = Optional.empty();
   private Optional<StoreFollower> intakeFollower = Optional.empty();
   private Optional<LeadershipClaim> claim = Optional.empty();
@@ -72,6 +75,11 @@
     this.monitor = new LeaderMonitor(dependencies.claimDelayMilliseconds(), candidate);
   }
 
+  /** Sets the receiver of the load of the pools that the leader writes. */
+  public void setLoadShedding(Optional<LoadShedding> receiver) {
+    loadShedding = receiver;
+  }
+
   /**
    * Starts to follow the leadership.
    *
@@ -207,6 +215,8 @@
   @Override
   public void onSnapshot(List<StoreRecord> records) {
     records.forEach(this::onRecord);
+    // It is not known when the records were written.
+    loadShedding.ifPresent(LoadShedding::forgetLoad);
   }
 
   @Override
@@ -224,6 +234,9 @@
   private void apply(StoreRecord record, long now) throws InvalidProtocolBufferException {
     if (record.key().equals(ScheduleKeys.LEADER_TERM)) {
       LeaderTerm term = LeaderTerm.parseFrom(record.value());
+      if (term.getReleased() || term.getEpoch() != monitor.newestTerm().getEpoch()) {
+        loadShedding.ifPresent(LoadShedding::forgetLoad);
+      }
       monitor.observe(term, now);
       endTermIfReplaced(term);
       return;
@@ -238,6 +251,10 @@
       poolHistory = Optional.of(PoolHistory.parseFrom(record.value()));
       return;
     }
+    if (record.key().equals(ScheduleKeys.FLEET_LOAD)) {
+      applyFleetLoad(record);
+      return;
+    }
     Optional<JobId> job = ScheduleKeys.progressedJobOf(record.key());
     // The leader has already applied its own records, and possibly newer ones.
     if (job.isEmpty() || driver.isPresent()) {
@@ -250,6 +267,23 @@
     }
   }
 
+  /**
+   * Applies the load of the pools. It was written after the newest read that did not contain it was
+   * sent, which also holds if this process was paused or has read a backlog.
+   */
+  private void applyFleetLoad(StoreRecord record) throws InvalidProtocolBufferException {
+    if (loadShedding.isEmpty()) {
+      return;
+    }
+    // A load that cannot be parsed replaces the former one too.
+    loadShedding.get().forgetLoad();
+    Optional<ClockReading> writtenAfter = scheduleFollower.flatMap(StoreFollower::confirmedAt);
+    if (writtenAfter.isPresent() && !record.isTombstone()) {
+      long age = writtenAfter.get().elapsedMillisecondsUntil(dependencies.clock().read());
+      loadShedding.get().onLoadRead(FleetLoad.parseFrom(record.value()), age);
+    }
+  }
+
   private void endTermIfReplaced(LeaderTerm term) {
     if (driver.isEmpty()) {
       return;
--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.flamingochute.node.ClockReading;
 import org.flamingochute.node.FleetState;
+import org.flamingochute.node.LoadShedding;
 import org.flamingochute.node.NodeClock;
 import org.flamingochute.node.NodeMetrics;
 import org.flamingochute.node.front.HttpDependencies;
@@ -134,6 +135,9 @@
             claimDelayMilliseconds());
     leadership = new SchedulerLeadership(dependencies, state, clock.wallClockMilliseconds());
     state.setListener(Optional.of(leadership));
+    Optional<LoadShedding> loadShedding =
+        features().loadShedding() ? Optional.of(new LoadShedding(clock, state)) : Optional.empty();
+    leadership.setLoadShedding(loadShedding);
     declarations =
         new StoreFollower(
             loop,
@@ -179,7 +183,8 @@
                 new IntakeWriter(loop, clock, store),
                 new JobFreshness(intake, schedule, MAXIMUM_JOB_AGE_MILLISECONDS),
                 metrics,
-                new JobLimits(settings.getStore().getRecordBytes())),
+                new JobLimits(settings.getStore().getRecordBytes()),
+                loadShedding),
             declarations,
             settings.getBounds().getKeyRevocationMilliseconds() - KEY_MARGIN_MILLISECONDS,
             listenAddresses(),
--- a/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
+++ b/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
@@ -11,6 +11,9 @@
   /** Key of the load history of pools. */
   public static final String POOL_HISTORY = "pool-history";
 
+  /** Key of the load of the pools. */
+  public static final String FLEET_LOAD = "fleet-load";
+
   /** Key of the operators' declaration. */
   public static final String DECLARATION = "config";
 
--- /dev/null
+++ b/node/src/test/java/org/flamingochute/node/front/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the responses to callers. */
+package org.flamingochute.node.front;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -7,6 +7,7 @@
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.QueueId;
 import org.flamingochute.decision.placement.WorkerHealth;
+import org.flamingochute.scheduling.duration.EstimatedDurations;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.Machine;
 import org.flamingochute.scheduling.fleet.Queue;
@@ -15,6 +16,7 @@
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.scheduling.worker.WorkerStatus;
+import org.flamingochute.schema.scheduling.FleetLoad;
 import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.PoolHistory;
 import org.flamingochute.schema.scheduling.QueuePolicy;
@@ -61,6 +63,7 @@
   private final ProgressMonitor progressMonitor;
   private final FillerPacer fillerPacer;
   private final WorkerEvacuator workerEvacuator;
+  private final PoolWaits poolWaits;
   private FleetDeclaration declaration;
   private boolean machineCommandsAllowed = true;
 
@@ -103,6 +106,7 @@
     workerEvacuator = new WorkerEvacuator(lifecycle);
     progressMonitor = new ProgressMonitor(workers, lifecycle);
     fillerPacer = new FillerPacer(workers, outbox);
+    poolWaits = new PoolWaits(workers, jobs, teamUsage, new EstimatedDurations());
     MaintenanceOrder maintenanceOrder = new MaintenanceOrder(machines, workers);
     waveController =
         new WaveController(workers, machines, maintenanceOrder, workerEvacuator, outbox);
@@ -358,6 +362,9 @@
     }
     taskPlacer.placeTasks(declaration, now, wallClockMilliseconds);
     passedOverTaskLog.update(declaration, now, wallClockMilliseconds);
+    if (settings.features().loadShedding()) {
+      poolWaits.update(declaration, now, wallClockMilliseconds);
+    }
   }
 
   /**
@@ -408,6 +415,14 @@
     return outbox.takeImmediateCommands();
   }
 
+  /**
+   * Removes and returns the load of the pools, if it is to be written with the next append. It is
+   * not part of a batch, since a batch may be taken without an append.
+   */
+  public Optional<FleetLoad> takeFleetLoad() {
+    return poolWaits.take();
+  }
+
   /** Removes and returns everything that was decided since the last batch. */
   public SchedulerBatch takeBatch() {
     return outbox.takeBatch();
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TeamRates.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TeamRates.java
@@ -12,7 +12,7 @@
  * <p>A team's weight is its guaranteed rate in jobs per second. A team that submits many times its
  * rate would fill every pool, so its excess jobs wait behind the guaranteed jobs of other teams.
  */
-final class TeamRates {
+public final class TeamRates {
   /** Burst capacity: a team may submit the jobs of this many seconds at once. */
   private static final double BURST_SECONDS = 1.0;
 
@@ -33,16 +33,14 @@
   /**
    * Counts a job accepted at the given wall-clock time; returns whether it exceeds the team's rate.
    */
-  boolean recordAndCheckExcess(Optional<Team> team, long acceptedAt) {
-    if (team.isEmpty() || team.get().weight() <= 0) {
+  public boolean recordAndCheckExcess(Optional<Team> team, long acceptedAt) {
+    if (!isLimited(team)) {
       return false;
     }
-    double rate = team.get().weight();
-    double capacity = Math.max(1, rate * BURST_SECONDS);
     Bucket bucket =
-        buckets.computeIfAbsent(team.get().id(), id -> new Bucket(capacity, acceptedAt));
-    double elapsedSeconds = Math.max(0, acceptedAt - bucket.filledAt) / MILLISECONDS_PER_SECOND;
-    bucket.tokens = Math.min(capacity, bucket.tokens + elapsedSeconds * rate);
+        buckets.computeIfAbsent(
+            team.get().id(), id -> new Bucket(capacityOf(team.get()), acceptedAt));
+    bucket.tokens = tokensAt(bucket, team.get(), acceptedAt);
     bucket.filledAt = Math.max(bucket.filledAt, acceptedAt);
     if (bucket.tokens < 1) {
       return true;
@@ -50,4 +48,32 @@
     bucket.tokens -= 1;
     return false;
   }
+
+  /**
+   * Returns whether a job accepted at the given wall-clock time would exceed the team's rate,
+   * without counting it.
+   */
+  public boolean isExcess(Optional<Team> team, long acceptedAt) {
+    Bucket bucket = isLimited(team) ? buckets.get(team.get().id()) : null;
+    return bucket != null && tokensAt(bucket, team.get(), acceptedAt) < 1;
+  }
+
+  /** Returns whether the team had used up its rate when its last job was counted. */
+  public boolean isUsedUp(Optional<Team> team) {
+    Bucket bucket = isLimited(team) ? buckets.get(team.get().id()) : null;
+    return bucket != null && bucket.tokens < 1;
+  }
+
+  private static boolean isLimited(Optional<Team> team) {
+    return team.isPresent() && team.get().weight() > 0;
+  }
+
+  private static double capacityOf(Team team) {
+    return Math.max(1, team.weight() * BURST_SECONDS);
+  }
+
+  private static double tokensAt(Bucket bucket, Team team, long time) {
+    double elapsedSeconds = Math.max(0, time - bucket.filledAt) / MILLISECONDS_PER_SECOND;
+    return Math.min(capacityOf(team), bucket.tokens + elapsedSeconds * team.weight());
+  }
 }
--- /dev/null
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decision to refuse a job for load. */
+package org.flamingochute.scheduling.admission;
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/TeamRatesTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/TeamRatesTest.java
@@ -45,4 +45,19 @@
   void jobsWithoutTeamAreNeverExcess() {
     assertThat(rates.recordAndCheckExcess(Optional.empty(), 0), is(false));
   }
+
+  /** A check alone must not use up the rate, or a refused job would take the place of another. */
+  @Test
+  void checkCountsNothing() {
+    rates.recordAndCheckExcess(team(2), 0);
+    for (int i = 0; i < 10; i++) {
+      assertThat(rates.isExcess(team(2), 0), is(false));
+    }
+    rates.recordAndCheckExcess(team(2), 0);
+    assertThat(rates.isExcess(team(2), 0), is(true));
+    assertThat(rates.isExcess(team(2), SECOND), is(false));
+    assertThat(rates.isUsedUp(team(2)), is(true));
+    rates.recordAndCheckExcess(team(2), SECOND);
+    assertThat(rates.isUsedUp(team(2)), is(false));
+  }
 }
--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeCluster.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeCluster.java
@@ -38,6 +38,7 @@
   private final PlatformServer platform;
   private final StoreGateway gateway;
   private final ChildProcesses processes;
+  private final String furtherSettings;
   private final HttpClient http = HttpClient.newHttpClient();
   private final NodeClient caller = new NodeClient();
   private final List<String> addresses = new ArrayList<>();
@@ -56,6 +57,13 @@
 
   /** Starts a cluster as above, with the given machines in the stand-in. */
   NodeCluster(Path folder, int nodes, List<FleetSettings.PoolSize> pools) throws Exception {
+    this(folder, nodes, pools, "");
+  }
+
+  /** Starts a cluster as above, whose nodes have further sections in their settings. */
+  NodeCluster(Path folder, int nodes, List<FleetSettings.PoolSize> pools, String furtherSettings)
+      throws Exception {
+    this.furtherSettings = furtherSettings;
     platform = PlatformServer.start(FleetSettings.withShortDurations(pools), "127.0.0.1:0");
     gateway = new StoreGateway(platform.address());
     processes = new ChildProcesses(folder);
@@ -94,8 +102,14 @@
             machine_fence_milliseconds = 3000
             move_seconds = 0.5
             maintenance_seconds = 0.5
+            %s
             """
-                .formatted(nodeName(number), number, gateway.address(), platform.address()));
+                .formatted(
+                    nodeName(number),
+                    number,
+                    gateway.address(),
+                    platform.address(),
+                    furtherSettings));
     processes.start(nodeName(number), NodeMain.class.getName(), List.of("--settings", settings));
   }
 
@@ -120,11 +134,16 @@
 
   /** Declares a configuration with one queue and a team for each key. */
   void declare(long version, String... keys) throws Exception {
+    declare(version, 10, keys);
+  }
+
+  /** Declares a configuration as above, with a guaranteed rate of each team in jobs per second. */
+  void declare(long version, double rate, String... keys) throws Exception {
     StringBuilder teams = new StringBuilder();
     for (String key : keys) {
       teams.append(teams.isEmpty() ? "" : ",");
       teams.append(
-          "{\"name\":\"team-%s\",\"api_keys\":[\"%s\"],\"weight\":10}".formatted(key, key));
+          "{\"name\":\"team-%s\",\"api_keys\":[\"%s\"],\"weight\":%s}".formatted(key, key, rate));
     }
     post(
         "/operator/declare?key=config",
