--- a/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
+++ b/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
@@ -14,6 +14,9 @@
   /** Key of the machines that the leader may have commanded lately. */
   public static final String MACHINE_COMMANDS = "machine-commands";
 
+  /** Key of the load of the pools. */
+  public static final String FLEET_LOAD = "fleet-load";
+
   /** Key of the operators' declaration. */
   public static final String DECLARATION = "config";
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -20,6 +20,7 @@
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.scheduling.worker.WorkerStatus;
+import org.flamingochute.schema.scheduling.FleetLoad;
 import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.PoolHistory;
 import org.flamingochute.schema.scheduling.QueuePolicy;
@@ -68,6 +69,7 @@
   private final InterferenceModel interferenceModel = new InterferenceModel();
   private final InterferenceObserver interferenceObserver;
   private final WorkerEvacuator workerEvacuator;
+  private final PoolWaits poolWaits;
   private FleetDeclaration declaration;
   private boolean machineCommandsAllowed = true;
 
@@ -117,6 +119,7 @@
     progressMonitor = new ProgressMonitor(workers, lifecycle, durations);
     fillerPacer = new FillerPacer(workers, outbox);
     interferenceObserver = new InterferenceObserver(workers, interferenceModel);
+    poolWaits = new PoolWaits(workers, jobs, teamUsage, durations);
     MaintenanceOrder maintenanceOrder = new MaintenanceOrder(machines, workers);
     waveController =
         new WaveController(
@@ -380,12 +383,14 @@
     taskPlacer.placeTasks(declaration, now, wallClockMilliseconds);
     passedOverTaskLog.update(declaration, now, wallClockMilliseconds);
     durations.logChanges(now);
+    if (settings.features().loadShedding()) {
+      poolWaits.update(declaration, now, wallClockMilliseconds);
+    }
   }
 
   private void commandMachines(long now, long wallClockMilliseconds) {
-    // A machine whose maintenance a predecessor ordered may not be listed as down yet, and would
-    // not
-    // count against the limit of its wave.
+    // A machine that a predecessor has sent to maintenance may not be listed as down yet, so it
+    // would not count against the limit of its wave.
     if (machineCommandsAllowed && machineCommandFence.allowsAll(now)) {
       waveController.advance(now);
     } else {
@@ -447,6 +452,14 @@
     return outbox.takeImmediateCommands();
   }
 
+  /**
+   * Removes and returns the load of the pools, if it is to be written with the next append. It is
+   * not part of a batch, since a batch may be taken without an append.
+   */
+  public Optional<FleetLoad> takeFleetLoad() {
+    return poolWaits.take();
+  }
+
   /** Removes and returns everything that was decided since the last batch. */
   public SchedulerBatch takeBatch() {
     return outbox.takeBatch();
