Quote the images in the log event interference_learned

Cause: images are text from callers and may contain spaces or quotes, which would break the key-value form of the line.

Ruled out: checking images at submission; earlier deployments may use any text.

Change: the event quotes both images.

Measured: InterferenceModelTest, TaskSeparationSelectionTest, TaskSeparationTest, FillerPacerTest and ScenarioTest, 102 tests, no failure.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/interference/InterferenceModel.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/interference/InterferenceModel.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.flamingochute.decision.identity.InstanceId;
+import org.flamingochute.decision.misc.LogText;
 
 /**
  * Learns which filler images raise the tail latency of which serving images on the same worker.
@@ -145,7 +146,11 @@
         logLines++;
         logger.atInfo().log(
             "event=interference_learned serving=%s filler=%s level=%s effect=%.2f workers=%d",
-            image, entry.getKey(), effect.level(), effect.value(), effect.knownWorkers());
+            LogText.quoted(image),
+            LogText.quoted(entry.getKey()),
+            effect.level(),
+            effect.value(),
+            effect.knownWorkers());
       }
       if (effect.isEmpty()) {
         entries.remove();
