--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeCluster.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeCluster.java
@@ -78,6 +78,7 @@
             [instance]
             name = %s
             data_centre = dc-%d
+            data_centres = dc-0,dc-1,dc-2
             front_address = 127.0.0.1:0
             ready_address = 127.0.0.1:0
             metrics_address = 127.0.0.1:0
