Start copies of slow tasks

Cause: a job ends with its slowest task, and 3 tasks in 100 of some queues take seven times as long as the others. Ruled out: a map of copies beside the tasks of a worker, since each proof that a run has ended would need a second loop; copies in the leader's memory only, since a successor could give their attempt numbers to other runs. All of it needs the switch speculative_copies.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
@@ -101,6 +101,7 @@
       case STARTED, STARTED_BY_LATER_INCARNATION, SUPERSEDED -> {
         task.runState = Task.RunState.RUNNING;
         task.confirmedAt = now;
+        task.startConfirmed = true;
       }
       case UNKNOWN -> {
         task.worker.ifPresent(worker -> worker.unreachable = true);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Job.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Job.java
@@ -117,7 +117,7 @@
     for (Occurrence occurrence : occurrences) {
       for (int step = 0; step < occurrence.stepCount(); step++) {
         for (Task task : occurrence.tasksOf(step)) {
-          if (task.isAssigned()) {
+          if (task.isAssigned() || task.copy.isPresent()) {
             return true;
           }
         }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -7,6 +7,7 @@
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.QueueId;
 import org.flamingochute.decision.placement.WorkerHealth;
+import org.flamingochute.scheduling.duration.EstimatedDurations;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.Machine;
 import org.flamingochute.scheduling.fleet.Queue;
@@ -19,6 +20,7 @@
 import org.flamingochute.schema.scheduling.PoolHistory;
 import org.flamingochute.schema.scheduling.QueuePolicy;
 import org.flamingochute.schema.scheduling.QueuedJob;
+import org.flamingochute.schema.scheduling.TaskCopy;
 import org.flamingochute.schema.scheduling.TaskProgress;
 import org.flamingochute.schema.scheduling.WaveProgress;
 
@@ -55,6 +57,7 @@
   private final WorkerStatusProcessor statusProcessor;
   private final CommandTracker commandTracker;
   private final TaskPlacer taskPlacer;
+  private final CopyStarter copyStarter;
   private final PassedOverTaskLog passedOverTaskLog;
   private final WaveController waveController;
   private final PoolPlanner poolPlanner;
@@ -99,6 +102,9 @@
     commandTracker = new CommandTracker(workers, workerTracker, lifecycle);
     WorkerSelector workerSelector = new WorkerSelector(workerHealth);
     taskPlacer = new TaskPlacer(workers, jobs, teamUsage, lifecycle, workerSelector);
+    copyStarter =
+        new CopyStarter(
+            workers, jobs, teamUsage, lifecycle, workerSelector, new EstimatedDurations());
     passedOverTaskLog = new PassedOverTaskLog(workers, jobs, teamUsage, workerSelector);
     workerEvacuator = new WorkerEvacuator(lifecycle);
     progressMonitor = new ProgressMonitor(workers, lifecycle);
@@ -193,15 +199,33 @@
     task.phase = recorded.getPhase();
     switch (recorded.getPhase()) {
       case DONE -> task.occurrence.markTaskDone(task.id.step());
-      case ASSIGNED ->
-          lifecycle.restoreAssignment(
-              task,
-              new WorkerKey(
-                  new InstanceId(recorded.getWorker()), recorded.getWorkerBornMilliseconds()),
-              workerTracker.findOrAddWorker(recorded, job.pool, now),
-              now);
+      case ASSIGNED -> {
+        WorkerKey startedOn =
+            new WorkerKey(
+                new InstanceId(recorded.getWorker()), recorded.getWorkerBornMilliseconds());
+        lifecycle.restoreAssignment(
+            task, startedOn, workerTracker.findOrAddWorker(startedOn, job.pool, now), now);
+      }
       default -> task.phase = TaskProgress.Phase.WAITING;
     }
+    if (recorded.hasCopy()) {
+      restoreCopy(task, recorded.getCopy(), now);
+    }
+  }
+
+  private void restoreCopy(Task task, TaskCopy recorded, long now) {
+    task.highestCopyAttempt = recorded.getAttempt();
+    if (recorded.getWorker().isEmpty()) {
+      return;
+    }
+    WorkerKey startedOn =
+        new WorkerKey(new InstanceId(recorded.getWorker()), recorded.getWorkerBornMilliseconds());
+    lifecycle.restoreCopy(
+        task,
+        recorded.getAttempt(),
+        startedOn,
+        workerTracker.findOrAddWorker(startedOn, task.job.pool, now),
+        now);
   }
 
   /**
@@ -357,6 +381,9 @@
       poolPlanner.cordonWithoutCommands(now);
     }
     taskPlacer.placeTasks(declaration, now, wallClockMilliseconds);
+    if (settings.features().speculativeCopies()) {
+      copyStarter.startCopies(declaration, now, wallClockMilliseconds);
+    }
     passedOverTaskLog.update(declaration, now, wallClockMilliseconds);
   }
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -1,16 +1,19 @@
 package org.flamingochute.scheduling.core;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.TaskId;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.schema.scheduling.QueuedStep;
+import org.flamingochute.schema.scheduling.TaskCopy;
 import org.flamingochute.schema.scheduling.TaskProgress;
 
 /** The scheduler's state of one task and its current run. Modified by {@link TaskLifecycle}. */
-final class Task {
+sealed class Task permits CopyRun {
 
   /** What is known about the current run. */
   enum RunState {
@@ -61,10 +64,10 @@
   Optional<WorkerKey> workerKey = Optional.empty();
 
   /** Attempts that have certainly ended, but whose end was not listed by their worker. */
-  private final Set<Integer> attemptsWithUnknownEnd = new HashSet<>(0);
+  private final Set<Integer> attemptsWithUnknownEnd;
 
   /** Workers on which a run of this task failed. */
-  final Set<InstanceId> failedOn = new HashSet<>(0);
+  final Set<InstanceId> failedOn;
 
   /**
    * Time at which the worker confirmed the current command, by its response or by listing the run.
@@ -105,11 +108,73 @@
   /** Pace after a pace command that was not confirmed. */
   static final int UNKNOWN_PACE = -1;
 
+  /** Second run, on another worker; once the task is done, the run that may not have ended. */
+  Optional<CopyRun> copy = Optional.empty();
+
+  /** Highest attempt number that a copy of this task was given, or 0. */
+  int highestCopyAttempt;
+
+  /** Earliest time of the start of the next copy. */
+  long earliestCopyAt;
+
+  /** True once the worker has executed or refused the current run's start, which is sent once. */
+  boolean startConfirmed;
+
   Task(TaskId id, Job job, Occurrence occurrence, QueuedStep step) {
     this.id = id;
     this.job = job;
     this.occurrence = occurrence;
     this.step = step;
+    attemptsWithUnknownEnd = new HashSet<>(0);
+    failedOn = new HashSet<>(0);
+  }
+
+  /** Creates a second run of a task. */
+  Task(Task original) {
+    id = original.id;
+    job = original.job;
+    occurrence = original.occurrence;
+    step = original.step;
+    checkpoint = original.checkpoint;
+    attemptsWithUnknownEnd = original.attemptsWithUnknownEnd;
+    failedOn = original.failedOn;
+  }
+
+  /** Returns the task of which this is a run. */
+  Task original() {
+    return this;
+  }
+
+  /** Returns the attempt number of the next run, which is above those of all runs so far. */
+  int nextAttempt() {
+    return Math.max(attempt, highestCopyAttempt) + 1;
+  }
+
+  /** Takes over the state of another run of the same task, except its worker. */
+  void takeRunOf(Task other) {
+    attempt = other.attempt;
+    runState = other.runState;
+    reportedCheckpoint = other.reportedCheckpoint;
+    confirmedAt = other.confirmedAt;
+    startConfirmed = other.startConfirmed;
+    stopReason = other.stopReason;
+    stopRequestedAt = other.stopRequestedAt;
+    assignedAt = other.assignedAt;
+    percent = other.percent;
+    percentChangedAt = other.percentChangedAt;
+    statusReceivedAt = other.statusReceivedAt;
+    reportedUsage = other.reportedUsage;
+    pacePercent = other.pacePercent;
+  }
+
+  /** Returns the attempt numbers of runs whose start may still be executed. */
+  List<Integer> attemptsThatMayStart() {
+    List<Integer> attempts = new ArrayList<>(0);
+    if (isAssigned() && !startConfirmed) {
+      attempts.add(attempt);
+    }
+    copy.filter(other -> !other.startConfirmed).ifPresent(other -> attempts.add(other.attempt));
+    return attempts;
   }
 
   boolean isWaiting() {
@@ -166,6 +231,11 @@
     return attemptsWithUnknownEnd.remove(endedAttempt);
   }
 
+  /** Forgets attempts whose end is not known, once it no longer matters how they ended. */
+  void forgetUnknownEnds() {
+    attemptsWithUnknownEnd.clear();
+  }
+
   /** Returns whether a run that its worker lists is being stopped for a reason that is void. */
   boolean isStopVoid() {
     return switch (stopReason) {
@@ -199,6 +269,11 @@
                   .setWorker(key.id().value())
                   .setWorkerBornMilliseconds(key.startedMilliseconds()));
     }
+    if (copy.isPresent()) {
+      builder.setCopy(copy.get().toRecord());
+    } else if (!isDone() && highestCopyAttempt > attempt) {
+      builder.setCopy(TaskCopy.newBuilder().setAttempt(highestCopyAttempt));
+    }
     return builder.build();
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -30,6 +30,12 @@
   /** Delay before a failed task is restarted, which prevents a busy loop of failures. */
   private static final long RETRY_DELAY_MILLISECONDS = 20;
 
+  /**
+   * Shortest time from one copy of a task to the next, which prevents a busy loop of copies that
+   * are refused or fail.
+   */
+  private static final long COPY_INTERVAL_MILLISECONDS = 1_000;
+
   /** Delay before a failed long-running task is restarted. */
   private static final long LONG_RUNNING_RETRY_DELAY_MILLISECONDS = 100;
 
@@ -58,6 +64,7 @@
     task.runState = Task.RunState.RECORDING;
     task.attempt = attempt;
     task.confirmedAt = now;
+    task.startConfirmed = false;
     task.assignedAt = now;
     task.percent = 0;
     task.percentChangedAt = now;
@@ -83,10 +90,43 @@
     task.statusReceivedAt = now;
     task.runState = Task.RunState.RUNNING;
     task.confirmedAt = Long.MIN_VALUE;
+    task.startConfirmed = false;
     addToWorker(task, worker);
     task.workerKey = Optional.of(startedOn);
   }
 
+  /** Assigns a copy of a running task to a worker and queues its start command. */
+  void startCopy(Task task, Worker worker, long now) {
+    CopyRun copy = new CopyRun(task);
+    task.copy = Optional.of(copy);
+    task.highestCopyAttempt = task.nextAttempt();
+    task.earliestCopyAt = now + COPY_INTERVAL_MILLISECONDS;
+    assign(copy, worker, task.highestCopyAttempt, now);
+  }
+
+  /**
+   * Restores the copy of a task that a previous leader recorded. The copy of a task that is done is
+   * stopped.
+   *
+   * @param startedOn incarnation that the start was prepared for
+   * @param worker newest known incarnation of that worker
+   */
+  void restoreCopy(Task task, int attempt, WorkerKey startedOn, Worker worker, long now) {
+    CopyRun copy = new CopyRun(task);
+    copy.attempt = attempt;
+    task.copy = Optional.of(copy);
+    restoreAssignment(copy, startedOn, worker, now);
+    if (task.isDone()) {
+      stopRun(copy, now);
+    }
+  }
+
+  /** Returns whether a task may have two runs, or has had a copy. */
+  boolean mayHaveCopies(Task task) {
+    return task.highestCopyAttempt > 0
+        || settings.features().speculativeCopies() && CopyStarter.allowsCopies(task.step);
+  }
+
   /** Assigns a waiting task to the worker that lists its last run, which has not ended. */
   void resumeRun(Task task, Worker worker, long now) {
     logger.atInfo().log(
@@ -97,6 +137,7 @@
     task.percentChangedAt = now;
     task.runState = Task.RunState.RUNNING;
     task.confirmedAt = now;
+    task.startConfirmed = true;
     task.pacePercent = Task.UNKNOWN_PACE;
     addToWorker(task, worker);
     outbox.markChanged(task.job);
@@ -161,17 +202,55 @@
     }
   }
 
-  /** Returns an assigned task to the waiting state; its run must certainly have ended. */
+  /**
+   * Releases the run of an assigned task, which must certainly have ended. The task waits, or its
+   * other run becomes its only one.
+   */
   void release(Task task, String cause) {
     logger.atInfo().log(
         "event=run_over task=%s attempt=%d worker=%s cause=%s",
         task.id, task.attempt, task.workerKey.map(Object::toString).orElse("-"), cause);
     removeFromWorker(task);
-    task.phase = TaskProgress.Phase.WAITING;
+    if (task instanceof CopyRun copy) {
+      dropCopy(copy, cause);
+    } else if (task.copy.isPresent()) {
+      promoteCopy(task, task.copy.get(), cause);
+    } else {
+      task.phase = TaskProgress.Phase.WAITING;
+    }
     outbox.markChanged(task.job);
     closeIfEnded(task.job);
   }
 
+  private static void dropCopy(CopyRun copy, String cause) {
+    copy.drop();
+    if (!copy.original().isDone()) {
+      logCopyEnded(copy.original(), copy.attempt, "none", cause);
+    }
+  }
+
+  /** Makes the copy the only run of a task whose first run has ended without success. */
+  private void promoteCopy(Task task, CopyRun copy, String cause) {
+    logCopyEnded(task, copy.attempt, "promoted", cause);
+    moveRun(copy, task);
+    copy.drop();
+  }
+
+  private static void logCopyEnded(Task task, int attempt, String winner, String cause) {
+    logger.atInfo().log(
+        "event=copy_ended task=%s attempt=%d winner=%s cause=%s", task.id, attempt, winner, cause);
+  }
+
+  /** Passes a run on to another value that represents a run of the same task and has none. */
+  private void moveRun(Task from, Task to) {
+    final Optional<Worker> worker = from.worker;
+    final Optional<WorkerKey> startedOn = from.workerKey;
+    removeFromWorker(from);
+    to.takeRunOf(from);
+    worker.ifPresent(assigned -> addToWorker(to, assigned));
+    to.workerKey = startedOn;
+  }
+
   /**
    * Releases a task whose run has certainly ended although no end was listed. Its worker may still
    * list the end later.
@@ -244,13 +323,14 @@
   void onRunEnded(
       Task task, EndReason reason, String checkpoint, long now, long wallClockMilliseconds) {
     setCheckpoint(task, checkpoint);
-    if (reason == EndReason.DONE && !task.step.getLongRunning()) {
+    boolean isSuperfluous = task.original().isDone();
+    if (reason == EndReason.DONE && !task.step.getLongRunning() && !isSuperfluous) {
       task.worker.ifPresent(
           worker -> workerHealth.observe(task.id.job(), worker.key.id(), true, now));
-      completeTask(task, wallClockMilliseconds);
+      completeTask(task, now, wallClockMilliseconds);
       return;
     }
-    if (reason == EndReason.FAILED) {
+    if (reason == EndReason.FAILED && !isSuperfluous) {
       handleFailure(task, now, wallClockMilliseconds);
       return;
     }
@@ -283,9 +363,22 @@
     }
   }
 
-  /** Completes a task; the first completed member of a gang completes the whole gang. */
-  private void completeTask(Task task, long wallClockMilliseconds) {
+  /**
+   * Completes the task of a run; the first completed member of a gang completes the whole gang.
+   * Another run of the task is stopped.
+   */
+  private void completeTask(Task run, long now, long wallClockMilliseconds) {
+    Task task = run.original();
+    if (run instanceof CopyRun copy) {
+      logCopyEnded(task, copy.attempt, "copy", "done");
+      removeFromWorker(copy);
+      copy.drop();
+      keepRunAsCopy(task);
+    } else {
+      task.copy.ifPresent(copy -> logCopyEnded(task, copy.attempt, "first_run", "done"));
+    }
     markDone(task);
+    stopLosingRun(task, now);
     if (task.step.getGang()) {
       for (Task member : task.occurrence.tasksOf(task.id.step())) {
         markDone(member);
@@ -298,6 +391,22 @@
     closeIfEnded(task.job);
   }
 
+  /** Keeps the run of a task that is about to be done until it has certainly ended. */
+  private void keepRunAsCopy(Task task) {
+    CopyRun remaining = new CopyRun(task);
+    moveRun(task, remaining);
+    task.copy = Optional.of(remaining);
+    task.highestCopyAttempt = Math.max(task.highestCopyAttempt, remaining.attempt);
+  }
+
+  private void stopLosingRun(Task task, long now) {
+    if (mayHaveCopies(task)) {
+      // A failure that is listed later must not end the job.
+      task.forgetUnknownEnds();
+    }
+    task.copy.ifPresent(copy -> stopRun(copy, now));
+  }
+
   private void markDone(Task task) {
     if (task.isDone()) {
       return;
@@ -307,8 +416,9 @@
     task.occurrence.markTaskDone(task.id.step());
   }
 
-  private void handleFailure(Task task, long now, long wallClockMilliseconds) {
-    task.worker.ifPresent(
+  private void handleFailure(Task run, long now, long wallClockMilliseconds) {
+    final Task task = run.original();
+    run.worker.ifPresent(
         worker -> {
           task.failedOn.add(worker.key.id());
           workerHealth.observe(task.id.job(), worker.key.id(), false, now);
@@ -317,17 +427,28 @@
     boolean longRunning = task.step.getLongRunning();
     task.earliestStartAt =
         now + (longRunning ? LONG_RUNNING_RETRY_DELAY_MILLISECONDS : RETRY_DELAY_MILLISECONDS);
-    release(task, "failed");
+    release(run, "failed");
     failJobAtLimit(task, now, wallClockMilliseconds);
   }
 
   /**
    * Applies the end of a run whose task was released without it, and may have been assigned again
    * since. A failure counts if it is not known yet; a leader may list one that its predecessor has
-   * counted.
+   * counted. A success completes a task that may have two runs, but has one only.
    */
   void onEarlierRunEnded(
       Task task, int attempt, EndReason reason, long now, long wallClockMilliseconds) {
+    boolean isLateSuccess =
+        reason == EndReason.DONE
+            && task.isAssigned()
+            && task.copy.isEmpty()
+            && task.isEndUnknown(attempt)
+            && mayHaveCopies(task);
+    if (isLateSuccess) {
+      keepRunAsCopy(task);
+      completeTask(task, now, wallClockMilliseconds);
+      return;
+    }
     if (reason != EndReason.FAILED || !task.learnEnd(attempt)) {
       return;
     }
@@ -394,6 +515,8 @@
     for (Occurrence occurrence : job.occurrences) {
       for (int step = 0; step < occurrence.stepCount(); step++) {
         for (Task task : occurrence.tasksOf(step)) {
+          // A copy comes first: a first run that is released would be replaced by it.
+          task.copy.ifPresent(assigned::add);
           if (task.isAssigned()) {
             assigned.add(task);
           }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskPlacer.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskPlacer.java
@@ -104,7 +104,7 @@
       if (worker.isEmpty()) {
         break;
       }
-      lifecycle.assign(task, worker.get(), task.attempt + 1, now);
+      lifecycle.assign(task, worker.get(), task.nextAttempt(), now);
       appendPlaced(placedRuns, task, worker.get());
     }
     logPlaced(tasks[0], placedRuns);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
@@ -55,6 +55,9 @@
   /** Tasks that may have a run on this worker. */
   final Map<TaskId, Task> tasks = new LinkedHashMap<>();
 
+  /** Ends that were applied and must not be acknowledged yet. */
+  final HeldEnds heldEnds = new HeldEnds();
+
   private ResourceVector usedCapacity = ResourceVector.ZERO;
 
   Worker(WorkerReport report, long leaseExpiresAt) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
@@ -107,10 +107,27 @@
       }
       worker.lastAppliedFinishedNumber = finishedRun.number();
       applyFinishedRun(worker, finishedRun, now, wallClockMilliseconds);
+      holdAcknowledgement(worker, finishedRun);
     }
     acknowledgeFinishedRuns(worker);
   }
 
+  /**
+   * Holds back the acknowledgement of an end while the start of another run of the task may still
+   * be executed. Otherwise a task could start after its success was acknowledged.
+   */
+  private void holdAcknowledgement(Worker worker, FinishedTask end) {
+    Optional<Task> task = jobs.find(end.task()).filter(lifecycle::mayHaveCopies);
+    if (task.isEmpty()) {
+      return;
+    }
+    for (int attempt : task.get().attemptsThatMayStart()) {
+      if (attempt != end.attempt()) {
+        worker.heldEnds.hold(end.number(), task.get(), attempt);
+      }
+    }
+  }
+
   private void applyFinishedRun(
       Worker worker, FinishedTask end, long now, long wallClockMilliseconds) {
     Optional<Task> found = findEndedRun(worker, end);
@@ -161,13 +178,12 @@
 
   /** Acknowledges the applied ends once they are recorded. */
   private void acknowledgeFinishedRuns(Worker worker) {
-    boolean isDue = worker.lastAppliedFinishedNumber > worker.lastAcknowledgedFinishedNumber;
-    if (!isDue) {
+    long number = worker.heldEnds.lastFreeNumber(worker.lastAppliedFinishedNumber);
+    if (number <= worker.lastAcknowledgedFinishedNumber) {
       return;
     }
-    worker.lastAcknowledgedFinishedNumber = worker.lastAppliedFinishedNumber;
-    outbox.sendAfterRecording(
-        new SchedulerCommand.AcknowledgeFinishedRuns(worker.key, worker.lastAppliedFinishedNumber));
+    worker.lastAcknowledgedFinishedNumber = number;
+    outbox.sendAfterRecording(new SchedulerCommand.AcknowledgeFinishedRuns(worker.key, number));
   }
 
   private void applyRunningTasks(
@@ -186,6 +202,7 @@
         continue;
       }
       Task task = found.get();
+      task.startConfirmed = true;
       if (task.isWaiting()) {
         lifecycle.resumeRun(task, worker, now);
       }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerTracker.java
@@ -11,7 +11,6 @@
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
-import org.flamingochute.schema.scheduling.TaskProgress;
 
 /**
  * Tracks the workers, and for each one the time until which tasks may still run on it.
@@ -50,9 +49,7 @@
    * <p>If the record and the store name different incarnations, the newer one has replaced the
    * other, and its first status ends the runs of the other one.
    */
-  Worker findOrAddWorker(TaskProgress recorded, PoolId pool, long now) {
-    WorkerKey key =
-        new WorkerKey(new InstanceId(recorded.getWorker()), recorded.getWorkerBornMilliseconds());
+  Worker findOrAddWorker(WorkerKey key, PoolId pool, long now) {
     Optional<Worker> known = workers.find(key.id());
     if (known.isEmpty()) {
       return addUnlisted(
--- /dev/null
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/speculation/package-info.java
@@ -0,0 +1,2 @@
+/** Which slow runs deserve a copy. */
+package org.flamingochute.scheduling.speculation;
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedExecution.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedExecution.java
@@ -21,6 +21,7 @@
   private final SimulatedRuns runs;
   private final long leaseMilliseconds;
   private final Map<TaskId, Long> durations = new HashMap<>();
+  private final Map<TaskId, Long> firstRunFactors = new HashMap<>();
   private final Set<JobId> failingJobs = new HashSet<>();
 
   SimulatedExecution(SimulatedFleet fleet, SimulatedRuns runs, long leaseMilliseconds) {
@@ -37,6 +38,10 @@
     durations.put(task, milliseconds);
   }
 
+  void slowDownFirstRun(TaskId task, long factor) {
+    firstRunFactors.put(task, factor);
+  }
+
   void failRunsOf(JobId job) {
     failingJobs.add(job);
   }
@@ -69,6 +74,7 @@
             start.attempt(),
             durations.getOrDefault(start.task(), DEFAULT_DURATION_MILLISECONDS));
     run.fails = failingJobs.contains(start.task().job());
+    run.slowdownFactor = start.attempt() == 1 ? firstRunFactors.getOrDefault(start.task(), 1L) : 1;
     run.longRunning = runs.isLongRunning(start.task());
     long deadline = worker.leaseDeadline(start.worker(), at + leaseMilliseconds, now());
     boolean isNew = !worker.has(start.task(), start.attempt());
--- /dev/null
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/speculation/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of copies of slow tasks. */
+package org.flamingochute.scheduling.speculation;
