Hold an end for every other run of its task, and name the winner of each copy

Cause: by reading: HeldEnds kept one other run for each end, while a restored first run and its copy may both be unconfirmed; the line copy_ended named the first run as winner when the late success of a released run completed the task. Ruled out: holding every end until the task has one run, which would keep ends listed for the whole lease of a silent worker.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/HeldEnds.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/HeldEnds.java
@@ -1,5 +1,7 @@
 package org.flamingochute.scheduling.core;
 
+import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -8,23 +10,27 @@
  * their task may still be executed.
  */
 final class HeldEnds {
-  private final TreeMap<Long, OtherRun> otherRuns = new TreeMap<>();
+  private final TreeMap<Long, OtherRuns> otherRuns = new TreeMap<>();
 
-  private record OtherRun(Task task, int attempt) {
+  private record OtherRuns(Task task, List<Integer> attempts) {
     private boolean mayStart() {
-      return task.attemptsThatMayStart().contains(attempt);
+      return !Collections.disjoint(task.attemptsThatMayStart(), attempts);
     }
   }
 
-  /** Holds an end until an attempt of its task can no longer start. */
-  void hold(long number, Task task, int attempt) {
-    otherRuns.put(number, new OtherRun(task, attempt));
+  /** Holds the end of an attempt until no other attempt that its task has now can start. */
+  void holdIfOthersMayStart(long number, Task task, int endedAttempt) {
+    List<Integer> others = task.attemptsThatMayStart();
+    others.removeIf(attempt -> attempt == endedAttempt);
+    if (!others.isEmpty()) {
+      otherRuns.put(number, new OtherRuns(task, others));
+    }
   }
 
   /** Returns the number up to which ends may be acknowledged. */
   long lastFreeNumber(long lastAppliedNumber) {
     while (!otherRuns.isEmpty()) {
-      Map.Entry<Long, OtherRun> first = otherRuns.firstEntry();
+      Map.Entry<Long, OtherRuns> first = otherRuns.firstEntry();
       if (first.getValue().mayStart()) {
         return first.getKey() - 1;
       }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -241,6 +241,12 @@
         "event=copy_ended task=%s attempt=%d winner=%s cause=%s", task.id, attempt, winner, cause);
   }
 
+  private static void logWinner(Task run) {
+    Task task = run.original();
+    String winner = run == task ? "first_run" : "copy";
+    task.copy.ifPresent(copy -> logCopyEnded(task, copy.attempt, winner, "done"));
+  }
+
   /** Passes a run on to another value that represents a run of the same task and has none. */
   private void moveRun(Task from, Task to) {
     final Optional<Worker> worker = from.worker;
@@ -327,6 +333,7 @@
     if (reason == EndReason.DONE && !task.step.getLongRunning() && !isSuperfluous) {
       task.worker.ifPresent(
           worker -> workerHealth.observe(task.id.job(), worker.key.id(), true, now));
+      logWinner(task);
       completeTask(task, now, wallClockMilliseconds);
       return;
     }
@@ -370,12 +377,9 @@
   private void completeTask(Task run, long now, long wallClockMilliseconds) {
     Task task = run.original();
     if (run instanceof CopyRun copy) {
-      logCopyEnded(task, copy.attempt, "copy", "done");
       removeFromWorker(copy);
       copy.drop();
       keepRunAsCopy(task);
-    } else {
-      task.copy.ifPresent(copy -> logCopyEnded(task, copy.attempt, "first_run", "done"));
     }
     markDone(task);
     stopLosingRun(task, now);
@@ -445,6 +449,7 @@
             && task.isEndUnknown(attempt)
             && mayHaveCopies(task);
     if (isLateSuccess) {
+      logCopyEnded(task, attempt, "earlier_run", "done");
       keepRunAsCopy(task);
       completeTask(task, now, wallClockMilliseconds);
       return;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
@@ -117,15 +117,9 @@
    * be executed. Otherwise a task could start after its success was acknowledged.
    */
   private void holdAcknowledgement(Worker worker, FinishedTask end) {
-    Optional<Task> task = jobs.find(end.task()).filter(lifecycle::mayHaveCopies);
-    if (task.isEmpty()) {
-      return;
-    }
-    for (int attempt : task.get().attemptsThatMayStart()) {
-      if (attempt != end.attempt()) {
-        worker.heldEnds.hold(end.number(), task.get(), attempt);
-      }
-    }
+    jobs.find(end.task())
+        .filter(lifecycle::mayHaveCopies)
+        .ifPresent(task -> worker.heldEnds.holdIfOthersMayStart(end.number(), task, end.attempt()));
   }
 
   private void applyFinishedRun(
