--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
@@ -109,6 +109,7 @@
         }
         task.runState = Task.RunState.RUNNING;
         task.confirmedAt = now;
+        task.startConfirmed = true;
       }
       case UNKNOWN -> {
         task.worker.ifPresent(worker -> worker.unreachable = true);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -27,6 +27,7 @@
 import org.flamingochute.schema.scheduling.PoolHistory;
 import org.flamingochute.schema.scheduling.QueuePolicy;
 import org.flamingochute.schema.scheduling.QueuedJob;
+import org.flamingochute.schema.scheduling.TaskCopy;
 import org.flamingochute.schema.scheduling.TaskProgress;
 import org.flamingochute.schema.scheduling.WaveProgress;
 
@@ -63,6 +64,7 @@
   private final WorkerStatusProcessor statusProcessor;
   private final CommandTracker commandTracker;
   private final TaskPlacer taskPlacer;
+  private final CopyStarter copyStarter;
   private final PassedOverTaskLog passedOverTaskLog;
   private final WaveController waveController;
   private final PoolPlanner poolPlanner;
@@ -117,6 +119,7 @@
     WorkerSelector workerSelector =
         new WorkerSelector(workerHealth, new InterferencePenalty(interferenceModel));
     taskPlacer = new TaskPlacer(workers, jobs, teamUsage, lifecycle, workerSelector);
+    copyStarter = new CopyStarter(workers, jobs, teamUsage, lifecycle, workerSelector, durations);
     passedOverTaskLog = new PassedOverTaskLog(workers, jobs, teamUsage, workerSelector);
     workerEvacuator = new WorkerEvacuator(lifecycle);
     progressMonitor = new ProgressMonitor(workers, lifecycle, durations);
@@ -228,15 +231,33 @@
     task.phase = recorded.getPhase();
     switch (recorded.getPhase()) {
       case DONE -> task.occurrence.markTaskDone(task.id.step());
-      case ASSIGNED ->
-          lifecycle.restoreAssignment(
-              task,
-              new WorkerKey(
-                  new InstanceId(recorded.getWorker()), recorded.getWorkerBornMilliseconds()),
-              workerTracker.findOrAddWorker(recorded, job.pool, now),
-              now);
+      case ASSIGNED -> {
+        WorkerKey startedOn =
+            new WorkerKey(
+                new InstanceId(recorded.getWorker()), recorded.getWorkerBornMilliseconds());
+        lifecycle.restoreAssignment(
+            task, startedOn, workerTracker.findOrAddWorker(startedOn, job.pool, now), now);
+      }
       default -> task.phase = TaskProgress.Phase.WAITING;
     }
+    if (recorded.hasCopy()) {
+      restoreCopy(task, recorded.getCopy(), now);
+    }
+  }
+
+  private void restoreCopy(Task task, TaskCopy recorded, long now) {
+    task.highestCopyAttempt = recorded.getAttempt();
+    if (recorded.getWorker().isEmpty()) {
+      return;
+    }
+    WorkerKey startedOn =
+        new WorkerKey(new InstanceId(recorded.getWorker()), recorded.getWorkerBornMilliseconds());
+    lifecycle.restoreCopy(
+        task,
+        recorded.getAttempt(),
+        startedOn,
+        workerTracker.findOrAddWorker(startedOn, task.job.pool, now),
+        now);
   }
 
   /**
@@ -398,6 +419,9 @@
     uncordonWorkers();
     commandMachines(now, wallClockMilliseconds);
     taskPlacer.placeTasks(declaration, now, wallClockMilliseconds);
+    if (settings.features().speculativeCopies()) {
+      copyStarter.startCopies(declaration, now, wallClockMilliseconds);
+    }
     passedOverTaskLog.update(declaration, now, wallClockMilliseconds);
     durations.logChanges(now);
     if (settings.features().loadShedding()) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Worker.java
@@ -64,6 +64,9 @@
   /** Images of the fillers, tasks that use idle capacity. */
   final ImageCounts fillerImages = new ImageCounts();
 
+  /** Ends that were applied and must not be acknowledged yet. */
+  final HeldEnds heldEnds = new HeldEnds();
+
   private ResourceVector usedCapacity = ResourceVector.ZERO;
 
   Worker(WorkerReport report, long leaseExpiresAt) {
