Let small instances follow the statuses of jobs instead of all records of the leader

Cause: callers of small instances saw the end of a job late.

Ruled out: longer pauses between reads, which keep the number of bytes.

Change: with job_status_topic, the leader writes the phase of each job to a topic of its own, once its progress is durable. Instances below the size from which ClaimDelay lets them claim first follow that topic, and neither the progress nor the workers' reports. The load of the pools moves to the new topic.

--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
@@ -67,6 +67,7 @@
   private final SchedulerSettings settings;
   private final Scheduler scheduler;
   private final ScheduleWriter writer;
+  private final Optional<JobStatusPublisher> jobStatusPublisher;
   private final LeaderTerm term;
   private final Runnable termEndedCallback;
 
@@ -113,11 +114,28 @@
             loop,
             clock,
             store,
+            StoreTopic.SCHEDULE,
             term.getEpoch(),
             claimedAt,
             new ScheduleWriter.Confirmation(
                 settings.startValidityMilliseconds(), this::nextTermRecord),
             () -> onFenced("store"));
+    this.jobStatusPublisher =
+        settings.features().jobStatusTopic()
+            ? Optional.of(new JobStatusPublisher(loop, jobStatusWriter(claimedAt)))
+            : Optional.empty();
+  }
+
+  private ScheduleWriter jobStatusWriter(ClockReading claimedAt) {
+    return new ScheduleWriter(
+        loop,
+        clock,
+        store,
+        StoreTopic.JOB_STATUS,
+        term.getEpoch(),
+        claimedAt,
+        new ScheduleWriter.Confirmation(Long.MAX_VALUE, this::nextTermRecord),
+        () -> onFenced("job status"));
   }
 
   Scheduler scheduler() {
@@ -125,6 +143,7 @@
   }
 
   void start() {
+    jobStatusPublisher.ifPresent(publisher -> publisher.start(jobs.jobs()));
     tick();
   }
 
@@ -200,6 +219,7 @@
   private void stop() {
     stopped = true;
     writer.stop();
+    jobStatusPublisher.ifPresent(JobStatusPublisher::stop);
     tick.ifPresent(ScheduledRunnable::cancel);
     sessions.values().forEach(WorkerSession::stop);
     sessions.clear();
@@ -237,6 +257,8 @@
     scheduler.decide(clock.steadyMilliseconds(), clock.wallClockMilliseconds());
     updateSessions();
     scheduler.takeImmediateCommands().forEach(this::execute);
+    jobStatusPublisher.ifPresent(
+        publisher -> scheduler.takeFleetLoad().ifPresent(publisher::publish));
     record();
     machineCommandSender.ifPresent(MachineCommandSender::requestMachines);
   }
@@ -313,10 +335,12 @@
     if (records.isEmpty() || termRenewal.mustRecordLeaseExpiry(clock.steadyMilliseconds())) {
       records.add(nextTermRecord());
     }
-    scheduler
-        .takeFleetLoad()
-        .ifPresent(
-            load -> records.add(new KeyedValue(ScheduleKeys.FLEET_LOAD, load.toByteArray())));
+    if (jobStatusPublisher.isEmpty()) {
+      scheduler
+          .takeFleetLoad()
+          .ifPresent(
+              load -> records.add(new KeyedValue(ScheduleKeys.FLEET_LOAD, load.toByteArray())));
+    }
     return records;
   }
 
@@ -338,6 +362,8 @@
   private void onRecorded(SchedulerBatch batch) {
     batch.records().forEach(jobs::updateProgress);
     batch.deletedJobs().forEach(jobs::delete);
+    jobStatusPublisher.ifPresent(
+        publisher -> publisher.onRecorded(batch.records(), batch.deletedJobs()));
     batch.commandsAfterRecording().forEach(this::execute);
     if (releasing) {
       appendRelease();
--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.flamingochute.decision.identity.DataCentreId;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.JobId;
@@ -33,6 +35,7 @@
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.schema.scheduling.FleetLoad;
 import org.flamingochute.schema.scheduling.JobProgress;
+import org.flamingochute.schema.scheduling.JobStatus;
 import org.flamingochute.schema.scheduling.LeaderTerm;
 import org.flamingochute.schema.scheduling.MachineCommands;
 import org.flamingochute.schema.scheduling.PoolHistory;
@@ -64,6 +67,10 @@
   private Optional<LeadershipClaim> claim = Optional.empty();
   private Optional<SchedulerDriver> driver = Optional.empty();
   private Consumer<Boolean> leadershipCallback = holding -> {};
+
+  /** Time since which a standby node has seen no record of the leader; until the first load. */
+  private OptionalLong leaderSilentSince = OptionalLong.empty();
+
   private long nextClaimAt;
   private boolean resigned;
   private boolean ready;
@@ -86,6 +93,60 @@
     loadShedding = receiver;
   }
 
+  /**
+   * Returns the listener for the topic of job statuses, which also contains the load of the pools.
+   *
+   * @param follower returns the follower of that topic
+   */
+  public TopicListener jobStatusListener(Supplier<StoreFollower> follower) {
+    return new TopicListener() {
+      @Override
+      public void onSnapshot(List<StoreRecord> records) {
+        records.forEach(this::onRecord);
+        loadShedding.ifPresent(LoadShedding::forgetLoad);
+      }
+
+      @Override
+      public void onRecord(StoreRecord record) {
+        try {
+          applyJobStatus(record, follower.get());
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+          logUnreadable(record, e);
+        }
+      }
+    };
+  }
+
+  private void applyJobStatus(StoreRecord record, StoreFollower follower)
+      throws InvalidProtocolBufferException {
+    if (record.key().equals(ScheduleKeys.FLEET_LOAD)) {
+      applyFleetLoad(record, follower);
+      return;
+    }
+    Optional<JobId> job = ScheduleKeys.statusJobOf(record.key());
+    if (job.isEmpty()) {
+      return;
+    }
+    if (record.isTombstone()) {
+      state.jobs().deleteWithoutDefinition(job.get());
+    } else {
+      state.jobs().updateStatus(job.get(), JobStatus.parseFrom(record.value()));
+    }
+  }
+
+  /**
+   * Prepares the first load of the schedule topic by a standby node: the leader seems to have
+   * appended nothing since the given time, so that a claim need not wait for as long again.
+   */
+  public void onActivated(long silentSince) {
+    leaderSilentSince = OptionalLong.of(silentSince);
+  }
+
+  /** Records that the store responded to a standby node, which reads no records of the leader. */
+  public void onStoreReached(long now) {
+    monitor.onReadSucceeded(now);
+  }
+
   /**
    * Starts to follow the leadership.
    *
@@ -232,6 +293,8 @@
   @Override
   public void onSnapshot(List<StoreRecord> records) {
     records.forEach(this::onRecord);
+    leaderSilentSince.ifPresent(monitor::onLeaderSilentSince);
+    leaderSilentSince = OptionalLong.empty();
     // It is not known when the records were written.
     loadShedding.ifPresent(LoadShedding::forgetLoad);
   }
@@ -242,12 +305,16 @@
     try {
       apply(record, now);
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
-      logger.atWarning().log(
-          "event=record_unreadable key=%s offset=%d detail=\"%s\"",
-          LogText.of(record.key()), record.offset(), LogText.of(e.getMessage()));
+      logUnreadable(record, e);
     }
   }
 
+  private static void logUnreadable(StoreRecord record, Exception error) {
+    logger.atWarning().log(
+        "event=record_unreadable key=%s offset=%d detail=\"%s\"",
+        LogText.of(record.key()), record.offset(), LogText.of(error.getMessage()));
+  }
+
   private void apply(StoreRecord record, long now) throws InvalidProtocolBufferException {
     if (record.key().equals(ScheduleKeys.LEADER_TERM)) {
       LeaderTerm term = LeaderTerm.parseFrom(record.value());
@@ -273,7 +340,7 @@
       return;
     }
     if (record.key().equals(ScheduleKeys.FLEET_LOAD)) {
-      applyFleetLoad(record);
+      applyFleetLoad(record, scheduleFollower.orElseThrow());
       return;
     }
     Optional<JobId> job = ScheduleKeys.progressedJobOf(record.key());
@@ -294,13 +361,14 @@
    * Applies the load of the pools. It was written after the newest read that did not contain it was
    * sent, which also holds if this process was paused or has read a backlog.
    */
-  private void applyFleetLoad(StoreRecord record) throws InvalidProtocolBufferException {
+  private void applyFleetLoad(StoreRecord record, StoreFollower follower)
+      throws InvalidProtocolBufferException {
     if (loadShedding.isEmpty()) {
       return;
     }
     // A load that cannot be parsed replaces the former one too.
     loadShedding.get().forgetLoad();
-    Optional<ClockReading> writtenAfter = scheduleFollower.flatMap(StoreFollower::confirmedAt);
+    Optional<ClockReading> writtenAfter = follower.confirmedAt();
     if (writtenAfter.isPresent() && !record.isTombstone()) {
       long age = writtenAfter.get().elapsedMillisecondsUntil(dependencies.clock().read());
       loadShedding.get().onLoadRead(FleetLoad.parseFrom(record.value()), age);
--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -22,6 +22,7 @@
 import org.flamingochute.node.front.NodeHttpServers;
 import org.flamingochute.node.leadership.LeadershipDependencies;
 import org.flamingochute.node.leadership.SchedulerLeadership;
+import org.flamingochute.node.leadership.StandbyFollower;
 import org.flamingochute.node.store.IntakeWriter;
 import org.flamingochute.node.store.StoreFollower;
 import org.flamingochute.platform.http.EventLoopGroup;
@@ -36,6 +37,7 @@
 import org.flamingochute.scheduling.core.SchedulerSettings;
 import org.flamingochute.scheduling.core.SchedulingFeatures;
 import org.flamingochute.scheduling.leadership.ClaimDelay;
+import org.flamingochute.scheduling.leadership.StandbyMonitor;
 import org.flamingochute.schema.BoundSection;
 import org.flamingochute.schema.InstancePlaceSection;
 import org.flamingochute.schema.NodeSettings;
@@ -57,6 +59,8 @@
    */
   private static final long SCHEDULE_LONG_POLL_MILLISECONDS = 350;
 
+  private static final long JOB_STATUS_LONG_POLL_MILLISECONDS = 900;
+
   /** Batches the progress of jobs at nodes that do not lead, which delays it for callers. */
   private static final long PROGRESS_PAUSE_MILLISECONDS = 100;
 
@@ -113,6 +117,11 @@
   private final StoreFollower workers;
   private final StoreFollower intake;
   private final StoreFollower schedule;
+
+  /** Follower of the statuses of jobs, if this instance does not follow all their records. */
+  private final Optional<StoreFollower> jobStatuses;
+
+  private final Optional<StandbyFollower> standby;
   private final SchedulerLeadership leadership;
   private final NodeHttpServers httpServers;
   private boolean stopping;
@@ -178,6 +187,8 @@
             SCHEDULE_LONG_POLL_MILLISECONDS,
             PROGRESS_PAUSE_MILLISECONDS,
             leadership);
+    jobStatuses = isStandby() ? Optional.of(createJobStatusFollower(store)) : Optional.empty();
+    standby = jobStatuses.map(statuses -> createStandbyFollower(store, statuses));
     httpServers =
         new NodeHttpServers(
             new HttpDependencies(
@@ -185,7 +196,7 @@
                 clock,
                 state,
                 new IntakeWriter(loop, clock, store),
-                new JobFreshness(intake, schedule, MAXIMUM_JOB_AGE_MILLISECONDS),
+                new JobFreshness(intake, phaseFollower(), MAXIMUM_JOB_AGE_MILLISECONDS),
                 metrics,
                 new JobLimits(settings.getStore().getRecordBytes()),
                 loadShedding),
@@ -195,6 +206,40 @@
             this::isReady);
   }
 
+  /** Returns whether this instance follows the leader's records only if it must lead itself. */
+  private boolean isStandby() {
+    InstancePlaceSection instance = settings.getInstance();
+    return features().jobStatusTopic()
+        && !ClaimDelay.isLarge(cores(instance), instance.getLinkMegabits());
+  }
+
+  private StoreFollower createJobStatusFollower(StoreClient store) {
+    return new StoreFollower(
+        loop,
+        clock,
+        store,
+        StoreTopic.JOB_STATUS,
+        JOB_STATUS_LONG_POLL_MILLISECONDS,
+        PROGRESS_PAUSE_MILLISECONDS,
+        leadership.jobStatusListener(this::phaseFollower));
+  }
+
+  private StandbyFollower createStandbyFollower(StoreClient store, StoreFollower statuses) {
+    return new StandbyFollower(
+        loop,
+        clock,
+        store,
+        new StandbyMonitor(claimDelayMilliseconds()),
+        leadership,
+        statuses,
+        this::followLeader);
+  }
+
+  /** Returns the follower from which the phases of jobs are known. */
+  private StoreFollower phaseFollower() {
+    return jobStatuses.orElse(schedule);
+  }
+
   private ExchangeClient createExchangeClient(int connections) {
     ExchangeLimits limits =
         ExchangeLimits.builder()
@@ -236,6 +281,7 @@
         .taskSeparation(scheduling.getTaskSeparation())
         .loadShedding(scheduling.getLoadShedding())
         .compactRecords(scheduling.getCompactRecords())
+        .jobStatusTopic(scheduling.getJobStatusTopic())
         .build();
   }
 
@@ -255,8 +301,12 @@
 
   private long claimDelayMilliseconds() {
     InstancePlaceSection instance = settings.getInstance();
-    double cores = instance.getProcessorShare() * instance.getProcessorSpeed();
-    return ClaimDelay.delayMilliseconds(instance.getName(), cores, instance.getLinkMegabits());
+    return ClaimDelay.delayMilliseconds(
+        instance.getName(), cores(instance), instance.getLinkMegabits());
+  }
+
+  private static double cores(InstancePlaceSection instance) {
+    return instance.getProcessorShare() * instance.getProcessorSpeed();
   }
 
   private ListenAddresses listenAddresses() {
@@ -298,14 +348,21 @@
 
   private void startFollowers() {
     declarations.start();
-    workers.start();
     intake.start();
-    schedule.start();
+    jobStatuses.ifPresent(StoreFollower::start);
+    standby.ifPresentOrElse(StandbyFollower::start, this::followLeader);
     leadership.start(schedule, intake, this::setFollowerPauses);
     checkLoaded();
+    checkLeaderDataLoaded();
     checkProcessPause(clock.read());
   }
 
+  /** Starts to follow what only a leader needs, besides what every node needs. */
+  private void followLeader() {
+    workers.start();
+    schedule.start();
+  }
+
   /**
    * Sets the read pauses: the leader reads jobs and workers without delay, but not its own records.
    */
@@ -316,6 +373,18 @@
   }
 
   private void checkLoaded() {
+    boolean allLoaded =
+        declarations.isLoaded() && intake.isLoaded() && state.declaration().isPresent();
+    if (allLoaded) {
+      logger.atInfo().log(
+          "event=ready version=%d jobs=%d",
+          state.declaration().get().version(), state.jobs().jobs().size());
+      return;
+    }
+    loop.delay(CHECK_INTERVAL_MILLISECONDS, this::checkLoaded);
+  }
+
+  private void checkLeaderDataLoaded() {
     boolean allLoaded =
         declarations.isLoaded()
             && workers.isLoaded()
@@ -323,12 +392,9 @@
             && state.declaration().isPresent();
     if (allLoaded) {
       leadership.setReady();
-      logger.atInfo().log(
-          "event=ready version=%d jobs=%d",
-          state.declaration().get().version(), state.jobs().jobs().size());
       return;
     }
-    loop.delay(CHECK_INTERVAL_MILLISECONDS, this::checkLoaded);
+    loop.delay(CHECK_INTERVAL_MILLISECONDS, this::checkLeaderDataLoaded);
   }
 
   /** Logs pauses of the whole process, which explain late responses. */
@@ -349,7 +415,7 @@
     return !stopping
         && state.declaration().isPresent()
         && intake.isLoaded()
-        && schedule.isLoaded()
+        && phaseFollower().isLoaded()
         && declarations.ageMilliseconds()
             < settings.getBounds().getKeyRevocationMilliseconds() - KEY_MARGIN_MILLISECONDS;
   }
--- a/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
+++ b/node/src/main/java/org/flamingochute/node/store/ScheduleKeys.java
@@ -23,6 +23,7 @@
   private static final String JOB = "job/";
   private static final String CANCELLATION = "cancellation/";
   private static final String PROGRESS = "progress/";
+  private static final String STATUS = "status/";
   private static final String WAVE = "wave/";
 
   private ScheduleKeys() {}
@@ -42,6 +43,11 @@
     return PROGRESS + id;
   }
 
+  /** Returns the key of a job's status. */
+  public static String status(JobId id) {
+    return STATUS + id;
+  }
+
   /** Returns the key of a wave. */
   public static String wave(long number) {
     return WAVE + number;
@@ -62,6 +68,11 @@
     return parseJobId(PROGRESS, key);
   }
 
+  /** Returns the job whose status has the given key, or empty for other keys. */
+  public static Optional<JobId> statusJobOf(String key) {
+    return parseJobId(STATUS, key);
+  }
+
   private static Optional<JobId> parseJobId(String prefix, String key) {
     boolean isMatch = key.startsWith(prefix) && key.length() > prefix.length();
     return isMatch ? Optional.of(new JobId(key.substring(prefix.length()))) : Optional.empty();
--- a/node/src/main/java/org/flamingochute/node/store/ScheduleWriter.java
+++ b/node/src/main/java/org/flamingochute/node/store/ScheduleWriter.java
@@ -41,6 +41,7 @@
   private final Eventloop loop;
   private final NodeClock clock;
   private final StoreClient store;
+  private final StoreTopic topic;
   private final long epoch;
   private final Confirmation confirmation;
   private final Runnable fencedCallback;
@@ -61,6 +62,7 @@
   /**
    * Creates a writer for a term whose first record has sequence number 0.
    *
+   * @param topic topic that the records are written to
    * @param claimedAt time at which that record was sent
    * @param confirmation how the term is confirmed before commands are sent
    * @param fencedCallback called once when the store refuses the term, because a successor has
@@ -70,6 +72,7 @@
       Eventloop loop,
       NodeClock clock,
       StoreClient store,
+      StoreTopic topic,
       long epoch,
       ClockReading claimedAt,
       Confirmation confirmation,
@@ -77,6 +80,7 @@
     this.loop = loop;
     this.clock = clock;
     this.store = store;
+    this.topic = topic;
     this.epoch = epoch;
     this.confirmedAt = claimedAt;
     this.confirmation = confirmation;
@@ -167,7 +171,7 @@
     }
     store
         .append(
-            StoreTopic.SCHEDULE,
+            topic,
             records,
             Optional.of(new ProducerPosition(PRODUCER, epoch, sequence + 1)),
             OptionalLong.empty(),
@@ -195,7 +199,7 @@
     confirmedAt = sentAt;
     if (storeUnavailable) {
       storeUnavailable = false;
-      logger.atInfo().log("event=dependency_regained dependency=store topic=SCHEDULE");
+      logger.atInfo().log("event=dependency_regained dependency=store topic=%s", topic);
     }
   }
 
@@ -209,7 +213,7 @@
     if (!storeUnavailable) {
       storeUnavailable = true;
       logger.atWarning().log(
-          "event=dependency_lost dependency=store topic=SCHEDULE detail=\"%s\"", detail);
+          "event=dependency_lost dependency=store topic=%s detail=\"%s\"", topic, detail);
     }
     loop.delay(RETRY_DELAY_MILLISECONDS, () -> sendChunk(records, durableCallback));
   }
--- a/node/src/test/java/org/flamingochute/node/store/ScheduleWriterTest.java
+++ b/node/src/test/java/org/flamingochute/node/store/ScheduleWriterTest.java
@@ -99,6 +99,7 @@
         loop,
         clock,
         storeOf(exchanges),
+        StoreTopic.SCHEDULE,
         1,
         clock.read(),
         new ScheduleWriter.Confirmation(VALIDITY_MILLISECONDS, () -> TERM_RECORD),
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulingFeatures.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/SchedulingFeatures.java
@@ -8,13 +8,15 @@
  * @param taskSeparation place images that slow each other down on different workers
  * @param loadShedding refuse jobs in excess of a team's rate while their pool is overloaded
  * @param compactRecords write the progress of jobs in a compact form
+ * @param jobStatusTopic write the status of jobs to a topic of its own
  */
 public record SchedulingFeatures(
     boolean learnedDurations,
     boolean speculativeCopies,
     boolean taskSeparation,
     boolean loadShedding,
-    boolean compactRecords) {
+    boolean compactRecords,
+    boolean jobStatusTopic) {
   /** No optional part. */
   public static final SchedulingFeatures NONE = builder().build();
 
@@ -30,6 +32,7 @@
     private boolean taskSeparation;
     private boolean loadShedding;
     private boolean compactRecords;
+    private boolean jobStatusTopic;
 
     private Builder() {}
 
@@ -63,10 +66,21 @@
       return this;
     }
 
+    /** Sets whether the status of jobs is written to a topic of its own. */
+    public Builder jobStatusTopic(boolean value) {
+      jobStatusTopic = value;
+      return this;
+    }
+
     /** Returns the set. */
     public SchedulingFeatures build() {
       return new SchedulingFeatures(
-          learnedDurations, speculativeCopies, taskSeparation, loadShedding, compactRecords);
+          learnedDurations,
+          speculativeCopies,
+          taskSeparation,
+          loadShedding,
+          compactRecords,
+          jobStatusTopic);
     }
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/job/JobTable.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/job/JobTable.java
@@ -11,6 +11,7 @@
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.QueueId;
 import org.flamingochute.schema.scheduling.JobProgress;
+import org.flamingochute.schema.scheduling.JobStatus;
 import org.flamingochute.schema.scheduling.QueuedJob;
 
 /**
@@ -53,6 +54,23 @@
     return storedJob;
   }
 
+  /** Applies a status record of the scheduler. */
+  public StoredJob updateStatus(JobId id, JobStatus status) {
+    StoredJob storedJob = findOrAddJob(id);
+    updateQueuedCount(storedJob, -1);
+    storedJob.updateStatus(status);
+    updateQueuedCount(storedJob, 1);
+    return storedJob;
+  }
+
+  /** Deletes what is known of a job whose status was deleted, unless its definition is known. */
+  public void deleteWithoutDefinition(JobId id) {
+    boolean isDefined = find(id).flatMap(StoredJob::definition).isPresent();
+    if (!isDefined) {
+      delete(id);
+    }
+  }
+
   /** Deletes a job. */
   public void delete(JobId id) {
     StoredJob storedJob = jobs.remove(id);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/job/StoredJob.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/job/StoredJob.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.schema.scheduling.JobProgress;
+import org.flamingochute.schema.scheduling.JobStatus;
 import org.flamingochute.schema.scheduling.QueuedJob;
 
 /** The state of one job in the store. Its records may be applied in any order. */
@@ -10,6 +11,7 @@
   private final JobId id;
   private Optional<QueuedJob> definition = Optional.empty();
   private Optional<JobProgress> progress = Optional.empty();
+  private JobStatus status = JobStatus.getDefaultInstance();
   private boolean cancelled;
 
   StoredJob(JobId id) {
@@ -44,13 +46,27 @@
     progress = Optional.of(newest);
   }
 
+  /** Applies a status; a status that is behind the known one changes nothing. */
+  void updateStatus(JobStatus newest) {
+    boolean ended = status.getPhase() != JobProgress.Phase.OPEN;
+    if (!ended) {
+      status = newest.toBuilder().setStarted(newest.getStarted() || status.getStarted()).build();
+    }
+  }
+
   void cancel() {
     cancelled = true;
   }
 
-  /** Returns the phase of the job that is reported to callers. */
+  /**
+   * Returns the phase of the job that is reported to callers: by its progress or its status,
+   * whichever was read further.
+   */
   public JobPhase phase() {
     JobProgress.Phase recorded = progress.map(JobProgress::getPhase).orElse(JobProgress.Phase.OPEN);
+    if (recorded == JobProgress.Phase.OPEN) {
+      recorded = status.getPhase();
+    }
     return switch (recorded) {
       case COMPLETED -> JobPhase.COMPLETED;
       case FAILED -> JobPhase.FAILED;
@@ -67,6 +83,6 @@
   }
 
   private boolean hasStarted() {
-    return progress.isPresent() && CompactProgress.hasTasks(progress.get());
+    return status.getStarted() || progress.isPresent() && CompactProgress.hasTasks(progress.get());
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/leadership/ClaimDelay.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/leadership/ClaimDelay.java
@@ -26,6 +26,16 @@
 
   private ClaimDelay() {}
 
+  /**
+   * Returns whether an instance is large enough to lead a large fleet.
+   *
+   * @param cores processor capacity of the candidate, in cores of standard speed
+   * @param linkMegabits bandwidth of the candidate's link in Mbit/s
+   */
+  public static boolean isLarge(double cores, double linkMegabits) {
+    return cores >= LARGE_CORES && linkMegabits >= LARGE_LINK_MEGABITS_PER_SECOND;
+  }
+
   /**
    * Returns the claim delay of a candidate in milliseconds.
    *
--- a/scheduling/src/main/java/org/flamingochute/scheduling/leadership/LeaderMonitor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/leadership/LeaderMonitor.java
@@ -62,6 +62,15 @@
     }
   }
 
+  /**
+   * Applies that the leader seems to have appended nothing since the given time, although its
+   * records have been read only now. That is not known for certain, so it has no effect on the time
+   * of the predecessor's last record.
+   */
+  public void onLeaderSilentSince(long time) {
+    renewedAt = Math.min(renewedAt, time);
+  }
+
   /** Records that a read has reached the end of the topic, and that its records were applied. */
   public void onReadSucceeded(long now) {
     if (now - lastReadAt > MAXIMUM_READ_AGE_MILLISECONDS) {
--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeCluster.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeCluster.java
@@ -39,6 +39,7 @@
   private final StoreGateway gateway;
   private final ChildProcesses processes;
   private final String furtherSettings;
+  private final int largeNodes;
   private final HttpClient http = HttpClient.newHttpClient();
   private final NodeClient caller = new NodeClient();
   private final List<String> addresses = new ArrayList<>();
@@ -63,7 +64,22 @@
   /** Starts a cluster as above, whose nodes have further sections in their settings. */
   NodeCluster(Path folder, int nodes, List<FleetSettings.PoolSize> pools, String furtherSettings)
       throws Exception {
+    this(folder, nodes, pools, furtherSettings, nodes);
+  }
+
+  /**
+   * Starts a cluster as above, of whose instances only the first ones are large enough to lead a
+   * large fleet.
+   */
+  NodeCluster(
+      Path folder,
+      int nodes,
+      List<FleetSettings.PoolSize> pools,
+      String furtherSettings,
+      int largeNodes)
+      throws Exception {
     this.furtherSettings = furtherSettings;
+    this.largeNodes = largeNodes;
     platform = PlatformServer.start(FleetSettings.withShortDurations(pools), "127.0.0.1:0");
     gateway = new StoreGateway(platform.address());
     processes = new ChildProcesses(folder);
@@ -90,7 +106,7 @@
             front_address = 127.0.0.1:0
             ready_address = 127.0.0.1:0
             metrics_address = 127.0.0.1:0
-            processor_share = 1
+            processor_share = %s
             [store]
             address = %s
             [fleet_services]
@@ -108,6 +124,7 @@
                 .formatted(
                     nodeName(number),
                     number,
+                    number < largeNodes ? "1" : "0.3",
                     gateway.address(),
                     platform.address(),
                     furtherSettings));
