--- a/node/src/main/java/org/flamingochute/node/leadership/StandbyFollower.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/StandbyFollower.java
@@ -19,7 +19,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Several reads in the time in which the leader appends at least one record. */
-  private static final long READ_INTERVAL_MILLISECONDS = 400;
+  private static final long READ_INTERVAL_MILLISECONDS = 600;
 
   private static final long READ_TIMEOUT_MILLISECONDS = 800;
 
