--- a/node/src/main/java/org/flamingochute/node/program/NodeMain.java
+++ b/node/src/main/java/org/flamingochute/node/program/NodeMain.java
@@ -48,6 +48,8 @@
     switch (line.get()) {
       case NodeCommandLine.ShowHelp help -> System.out.print(NodeCommandLine.HELP);
       case NodeCommandLine.CheckSettings check -> System.exit(check(check.settingsFile()));
+      case NodeCommandLine.CheckDeclaration check ->
+          System.exit(new DeclarationCheckCommand(System.out, System.err).run(check));
       case NodeCommandLine.RunNode run -> run(run.settingsFile());
     }
   }
