Size pools by what placement found no room for

Ruled out: a lower use for all pools, which keeps machines idle where tasks are small.

Change: CapacityShortage; placement counts, by what fits on an empty machine, the tasks that found no room for 150 ms, and the pool's need is at least its present machines and these. Tasks that their team's cap holds back do not count.

--- /dev/null
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CapacityShortage.java
@@ -0,0 +1,81 @@
+package org.flamingochute.scheduling.core;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.flamingochute.decision.identity.PoolId;
+import org.flamingochute.decision.placement.ResourceVector;
+import org.flamingochute.schema.scheduling.QueuedStep;
+
+/**
+ * Machines that pools lack because no worker has room for waiting tasks.
+ *
+ * <p>Large tasks leave parts of each worker unused: of workers with 64 cores, tasks of 22 cores
+ * fill two thirds. So the sum of all reservations does not tell how many machines a pool needs, and
+ * tasks would wait although the pool seems to have enough. What placement could not place does
+ * tell.
+ */
+final class CapacityShortage {
+  /** Time for which tasks must have found no room; most find some when others end. */
+  private static final long MINIMUM_DURATION_MILLISECONDS = 150;
+
+  private static final class Shortage {
+    private double machines;
+    private long since = Long.MAX_VALUE;
+  }
+
+  private final Map<PoolId, Shortage> shortages = new HashMap<>();
+
+  /** Begins a new pass of placement. */
+  void beginPass() {
+    for (Shortage shortage : shortages.values()) {
+      shortage.machines = 0;
+    }
+  }
+
+  /**
+   * Adds tasks of a step that no worker of the pool had room for.
+   *
+   * @param capacity capacity of a worker of the pool
+   */
+  void add(PoolId pool, QueuedStep step, int tasks, ResourceVector capacity) {
+    long tasksPerMachine = tasksPerMachine(step, capacity);
+    // Another machine of the pool would not help a task that needs a label or a larger machine.
+    if (tasksPerMachine == 0 || !step.getRequiredLabel().isEmpty()) {
+      return;
+    }
+    shortages.computeIfAbsent(pool, id -> new Shortage()).machines +=
+        (double) tasks / tasksPerMachine;
+  }
+
+  /** Returns how many tasks of a step run on one empty machine. */
+  static long tasksPerMachine(QueuedStep step, ResourceVector capacity) {
+    ResourceVector reservation = Worker.reservationOf(step);
+    long count =
+        Math.min(
+            fitting(reservation.processorMillicores(), capacity.processorMillicores()),
+            Math.min(
+                fitting(reservation.memoryMebibytes(), capacity.memoryMebibytes()),
+                fitting(reservation.accelerators(), capacity.accelerators())));
+    int maximum = step.getMaximumPerWorker();
+    return maximum == 0 ? count : Math.min(count, maximum);
+  }
+
+  private static long fitting(long amount, long capacity) {
+    return amount == 0 ? Integer.MAX_VALUE : capacity / amount;
+  }
+
+  /** Ends a pass of placement. */
+  void endPass(long now) {
+    for (Shortage shortage : shortages.values()) {
+      boolean isShort = shortage.machines > 0;
+      shortage.since = isShort ? Math.min(shortage.since, now) : Long.MAX_VALUE;
+    }
+  }
+
+  /** Returns how many machines a pool has lacked for a while. */
+  int missingMachines(PoolId pool, long now) {
+    Shortage shortage = shortages.get(pool);
+    boolean lasts = shortage != null && shortage.since <= now - MINIMUM_DURATION_MILLISECONDS;
+    return lasts ? (int) Math.ceil(shortage.machines) : 0;
+  }
+}
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlan.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlan.java
@@ -18,6 +18,14 @@
   /** Number of machines in the pool or moving to it, not counting those to be evacuated. */
   int machineCount;
 
+  /** Number of counted machines that are not moving. */
+  int settledCount;
+
+  /**
+   * Number of machines beyond those that are not moving that waiting tasks have no room without.
+   */
+  int missingMachines;
+
   /** Number of counted machines whose workers are cold. */
   int coldMachineCount;
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -56,6 +56,7 @@
   private final WaveController waveController;
   private final MaintenanceOrder maintenanceOrder;
   private final MachineCommandFence machineCommandFence;
+  private final CapacityShortage shortage;
   private final Outbox outbox;
   private final Map<MachineId, Move> moves = new LinkedHashMap<>();
   private final LoadPeakForecast forecast = new LoadPeakForecast();
@@ -75,6 +76,7 @@
       WaveController waveController,
       MaintenanceOrder maintenanceOrder,
       MachineCommandFence machineCommandFence,
+      CapacityShortage shortage,
       Outbox outbox) {
     this.workers = workers;
     this.machines = machines;
@@ -85,6 +87,7 @@
     this.waveController = waveController;
     this.maintenanceOrder = maintenanceOrder;
     this.machineCommandFence = machineCommandFence;
+    this.shortage = shortage;
     this.outbox = outbox;
   }
 
@@ -116,6 +119,7 @@
     for (PoolPlan plan : plans.values()) {
       if (!plan.pool.standby()) {
         PoolLoad load = loadsByPool.getOrDefault(plan.pool.id(), new PoolLoad());
+        plan.missingMachines = shortage.missingMachines(plan.pool.id(), now);
         historyChanged |= requirements.update(plan, load, machineCapacity, wallClockMilliseconds);
       }
     }
@@ -228,6 +232,9 @@
       return;
     }
     plan.machineCount++;
+    if (isSettled && machine.state() == Machine.State.UP) {
+      plan.settledCount++;
+    }
     if (ColdWorkers.isCold(machine, workers, now)) {
       plan.coldMachineCount++;
     }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolRequirements.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolRequirements.java
@@ -49,6 +49,10 @@
     final boolean peakStarted = forecast.observe(pool, peakLoad, wallClockMilliseconds);
     int longRunningCount = machinesFor(load.longRunning().dominantShare(machineCapacity));
     plan.machinesForLoad = machinesFor(load.total().dominantShare(machineCapacity));
+    if (plan.missingMachines > 0) {
+      plan.machinesForLoad =
+          Math.max(plan.machinesForLoad, plan.settledCount + plan.missingMachines);
+    }
     int minimum = minimumCount(pool, homeCount, longRunningCount, wallClockMilliseconds);
     plan.requiredMachines = Math.max(plan.machinesForLoad, Math.min(homeCount, minimum));
     setLendingFloors(plan, longRunningCount, wallClockMilliseconds);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -118,7 +118,8 @@
     commandTracker = new CommandTracker(workers, workerTracker, lifecycle);
     WorkerSelector workerSelector =
         new WorkerSelector(workerHealth, new InterferencePenalty(interferenceModel));
-    taskPlacer = new TaskPlacer(workers, jobs, teamUsage, lifecycle, workerSelector);
+    CapacityShortage shortage = new CapacityShortage();
+    taskPlacer = new TaskPlacer(workers, jobs, teamUsage, lifecycle, workerSelector, shortage);
     copyStarter = new CopyStarter(workers, jobs, teamUsage, lifecycle, workerSelector, durations);
     passedOverTaskLog = new PassedOverTaskLog(workers, jobs, teamUsage, workerSelector);
     workerEvacuator = new WorkerEvacuator(lifecycle);
@@ -140,6 +141,7 @@
             waveController,
             maintenanceOrder,
             machineCommandFence,
+            shortage,
             outbox);
   }
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskPlacer.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskPlacer.java
@@ -19,6 +19,7 @@
   private final TeamUsage teamUsage;
   private final TaskLifecycle lifecycle;
   private final WorkerSelector workerSelector;
+  private final CapacityShortage shortage;
   private final UrgencyOrder urgencyOrder = new UrgencyOrder();
 
   TaskPlacer(
@@ -26,17 +27,20 @@
       JobRegistry jobs,
       TeamUsage teamUsage,
       TaskLifecycle lifecycle,
-      WorkerSelector workerSelector) {
+      WorkerSelector workerSelector,
+      CapacityShortage shortage) {
     this.workers = workers;
     this.jobs = jobs;
     this.teamUsage = teamUsage;
     this.lifecycle = lifecycle;
     this.workerSelector = workerSelector;
+    this.shortage = shortage;
   }
 
   /** Places all tasks that can be placed now. */
   void placeTasks(FleetDeclaration declaration, long now, long wallClockMilliseconds) {
     Map<PoolId, List<Worker>> schedulable = schedulableWorkersByPool();
+    shortage.beginPass();
     for (Map.Entry<PoolId, List<Job>> entry : openJobsByPool().entrySet()) {
       List<Worker> poolWorkers = schedulable.getOrDefault(entry.getKey(), List.of());
       if (poolWorkers.isEmpty()) {
@@ -47,6 +51,7 @@
         placeJob(job, poolWorkers, declaration, now, wallClockMilliseconds);
       }
     }
+    shortage.endPass(now);
   }
 
   private Map<PoolId, List<Worker>> schedulableWorkersByPool() {
@@ -102,6 +107,7 @@
       }
       Optional<Worker> worker = workerSelector.select(task, poolWorkers, now);
       if (worker.isEmpty()) {
+        addShortage(tasks, task, poolWorkers, now);
         break;
       }
       lifecycle.assign(task, worker.get(), task.nextAttempt(), now);
@@ -110,6 +116,18 @@
     logPlaced(tasks[0], placedRuns);
   }
 
+  /** Adds the waiting tasks of a step, from the first one that no worker had room for. */
+  private void addShortage(Task[] tasks, Task first, List<Worker> poolWorkers, long now) {
+    int count = 0;
+    for (int index = first.id.index(); index < tasks.length; index++) {
+      if (tasks[index].isWaiting() && tasks[index].earliestStartAt <= now) {
+        count++;
+      }
+    }
+    ResourceVector capacity = poolWorkers.getFirst().report.capacity();
+    shortage.add(first.job.pool, first.step, count, capacity);
+  }
+
   private static void appendPlaced(StringBuilder placedRuns, Task task, Worker worker) {
     if (!placedRuns.isEmpty()) {
       placedRuns.append(',');
