Return evacuated machines in turn, and do not count their workers in predicted waits

Cause: the last idle machine of an evacuated data centre was ordered to the standby pool every 200 ms; if its move is refused for good, no other one was returned, and each order wrote a record. Workers in an evacuated data centre counted as capacity in predicted waits, which were too short by their share, so jobs were accepted that end too late.

Ruled out: a list of machines whose return was refused for good; the answer may change, and BUSY and THROTTLED look alike for some time.

Change: the machine whose last order is longest ago is next, each at most every 2 s. PoolWaits leaves out evacuated workers and the tasks that run on them.

Measured: refusedReturnDoesNotHoldBackOtherMachines fails with the former order and passes now. All tests of scheduling and node pass (482 and 251). workersOfAnEvacuatedDataCentreAreNoCapacity passes; its failure before was not run yet.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/DataCentreEvacuation.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/DataCentreEvacuation.java
@@ -49,6 +49,11 @@
     moveLongRunningTasks(now);
   }
 
+  /** Returns whether any data centre is to be evacuated. */
+  boolean isRequested() {
+    return !dataCentres.isEmpty();
+  }
+
   /** Returns whether a machine is in a data centre that is to be evacuated. */
   boolean includes(Machine machine) {
     if (dataCentres.isEmpty()) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -47,6 +47,12 @@
    */
   private static final long EVACUATED_RETURN_INTERVAL_MILLISECONDS = 200;
 
+  /**
+   * Shortest time between two orders to return the same evacuated machine. A machine whose return
+   * is refused for good must not hold back the others, nor cause a record with each order.
+   */
+  private static final long EVACUATED_RETURN_RETRY_MILLISECONDS = 2_000;
+
   private static final long LOG_INTERVAL_MILLISECONDS = 1_000;
 
   private final WorkerRegistry workers;
@@ -65,6 +71,9 @@
   private long loggedAt = Long.MIN_VALUE / 2;
   private long evacuatedReturnedAt = Long.MIN_VALUE / 2;
 
+  /** Times of the last orders to return evacuated machines, while there are such machines. */
+  private final Map<MachineId, Long> evacuatedReturnedAtByMachine = new HashMap<>();
+
   private record Move(PoolId pool, long orderedAt) {}
 
   PoolPlanner(
@@ -316,18 +325,38 @@
         "event=machine_moving machine=%s from=%s to=%s", machine.id(), machine.pool(), pool);
   }
 
-  /** Moves an idle machine to the standby pool that gets no tasks where it is. */
+  /**
+   * Moves an idle machine to the standby pool that gets no tasks where it is: the one whose last
+   * order is longest ago.
+   */
   private void returnEvacuated(Map<PoolId, PoolPlan> plans, PoolPlan standby, long now) {
+    if (!dataCentreEvacuation.isRequested()) {
+      evacuatedReturnedAtByMachine.clear();
+      return;
+    }
     if (now - evacuatedReturnedAt < EVACUATED_RETURN_INTERVAL_MILLISECONDS) {
       return;
     }
+    Machine next = null;
     for (PoolPlan plan : plans.values()) {
-      if (!plan.pool.standby() && !plan.idleEvacuatedMachines.isEmpty()) {
-        moveMachine(plan.idleEvacuatedMachines.removeLast(), standby.pool.id(), now);
-        evacuatedReturnedAt = now;
-        return;
+      if (plan.pool.standby()) {
+        continue;
+      }
+      for (Machine machine : plan.idleEvacuatedMachines) {
+        if (next == null || lastReturnOf(machine) < lastReturnOf(next)) {
+          next = machine;
+        }
       }
     }
+    if (next != null && now - lastReturnOf(next) >= EVACUATED_RETURN_RETRY_MILLISECONDS) {
+      moveMachine(next, standby.pool.id(), now);
+      evacuatedReturnedAt = now;
+      evacuatedReturnedAtByMachine.put(next.id(), now);
+    }
+  }
+
+  private long lastReturnOf(Machine machine) {
+    return evacuatedReturnedAtByMachine.getOrDefault(machine.id(), Long.MIN_VALUE / 2);
   }
 
   private void returnSurplus(Map<PoolId, PoolPlan> plans, PoolPlan standby, long now) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolWaits.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolWaits.java
@@ -134,7 +134,11 @@
    * otherwise a new leader would predict long waits from the first workers that respond to it.
    */
   private static boolean isCapacity(Worker worker) {
-    return worker.listed && !worker.unreachable && !worker.cordoned && !worker.report.draining();
+    return worker.listed
+        && !worker.unreachable
+        && !worker.cordoned
+        && !worker.evacuated
+        && !worker.report.draining();
   }
 
   private void addJob(
@@ -165,6 +169,9 @@
       }
       if (isLongRunning) {
         work.capacityMillicores -= millicores;
+      } else if (task.worker.filter(worker -> worker.evacuated).isPresent()) {
+        // It uses capacity that does not count, and leaves none to the tasks that wait.
+        continue;
       } else if (task.isAssigned()) {
         work.millicoreMilliseconds +=
             (double) millicores * Math.max(0, duration - (now - task.assignedAt));
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/DataCentreEvacuationTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/DataCentreEvacuationTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.util.List;
 import org.flamingochute.decision.identity.DataCentreId;
@@ -256,4 +257,16 @@
     assertThat("after their end", movesOf(LOST, STANDBY), is(1L));
     assertThat("starts", fleet.startsOf(new TaskId(JOB, 0, 0, 0)), is(1));
   }
+
+  /** Guards against a machine whose return is refused for good and that holds back the others. */
+  @Test
+  void refusedReturnDoesNotHoldBackOtherMachines() {
+    addMachines(POOL, LOST, 3);
+    fleet.advance(500);
+    fleet.refuseMovesOf(POOL + "-" + LOST + "-2");
+    fleet.evacuate(LOST);
+    fleet.advance(3_000);
+    assertThat("machines in the pool", fleet.machinesIn(POOL), is(1));
+    assertThat("orders", movesOf(LOST, STANDBY), lessThan(6L));
+  }
 }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/PoolWaitsTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/PoolWaitsTest.java
@@ -60,12 +60,16 @@
   }
 
   private void list(int number, boolean draining) {
+    list(number, "a", draining);
+  }
+
+  private void list(int number, String dataCentre, boolean draining) {
     scheduler.onWorkerListed(
         new WorkerReport(
             key(number),
             POOL,
             "w" + number,
-            new DataCentreId("a"),
+            new DataCentreId(dataCentre),
             new ResourceVector(CAPACITY, 65_536, 0),
             List.of(),
             draining),
@@ -113,6 +117,15 @@
     return scheduler.takeFleetLoad().map(FleetLoad::getWaitMillisecondsMap);
   }
 
+  private void sendStarts() {
+    scheduler.decide(now, now);
+    for (SchedulerCommand command : scheduler.takeBatch().commandsAfterRecording()) {
+      if (command instanceof SchedulerCommand.StartTask start) {
+        scheduler.beginStart(start);
+      }
+    }
+  }
+
   /** Two workers have 8 cores; every task takes one of them for 2 s. */
   @ParameterizedTest(name = "{0} tasks: {1} ms")
   @CsvSource({"0, 0", "7, 0", "8, 0", "16, 4000", "80, 20000"})
@@ -125,6 +138,23 @@
     assertThat(wait, is(expected));
   }
 
+  /** Tasks that run in an evacuated data centre end there, and its capacity is not used again. */
+  @ParameterizedTest(name = "while {0} tasks run: {1} ms")
+  @CsvSource({"0, 4000", "8, 5700"})
+  void workersOfAnEvacuatedDataCentreAreNoCapacity(int running, long expected) {
+    list(0, "a", false);
+    list(1, "b", false);
+    reach(0);
+    reach(1);
+    if (running > 0) {
+      submit("", tasks(running));
+      sendStarts();
+    }
+    scheduler.onEvacuationsChanged(Set.of(new DataCentreId("a")));
+    submit("", tasks(8));
+    assertThat(writtenAfter(300).orElseThrow(), is(Map.of(POOL.value(), expected)));
+  }
+
   @Test
   void elapsedTimeOfRunningTasksIsNoRemainingWork() {
     startWorkers(1);
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -196,6 +196,11 @@
     addWorker(name, pool, capacity, List.of(), dataCentre);
   }
 
+  /** Lets the machines service refuse all moves of a machine. */
+  public void refuseMovesOf(String machine) {
+    machines.refuseMovesOf(machine);
+  }
+
   /** Returns a fault injector for a worker. */
   public WorkerFaultInjector worker(String name) {
     return new WorkerFaultInjector(this, workers.get(name));
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedMachines.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedMachines.java
@@ -1,10 +1,12 @@
 package org.flamingochute.scheduling.simulation;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.flamingochute.decision.identity.DataCentreId;
 import org.flamingochute.decision.identity.InstanceId;
 import org.flamingochute.decision.identity.MachineId;
@@ -17,6 +19,7 @@
   private static final long MOVE_MILLISECONDS = 1_500;
 
   private final Map<String, MachineLocation> locations = new LinkedHashMap<>();
+  private final Set<String> refused = new HashSet<>();
 
   /**
    * The location of a machine.
@@ -33,10 +36,14 @@
     locations.put(name, new MachineLocation(pool, capacity, dataCentre, Long.MIN_VALUE));
   }
 
-  /** Starts a move; returns false for a machine that is already moving. */
+  void refuseMovesOf(String name) {
+    refused.add(name);
+  }
+
+  /** Starts a move; returns false for a machine that is already moving, or may not be moved. */
   boolean move(MachineId machine, PoolId pool, long now) {
     MachineLocation location = locations.get(machine.value());
-    if (location.availableAt() > now) {
+    if (location.availableAt() > now || refused.contains(machine.value())) {
       return false;
     }
     locations.put(
