Check the names in data_centres with the settings

Ruled out: a pattern in the schema, which cannot limit the entries of a list in its error. Change: DataCentreNames parses the setting; the check, the start and SIGHUP report it with the key and the value. Measured: DataCentreNamesTest; tooLongNameIsFoundByTheCheck fails without the check in NodeMain.

--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -119,7 +118,7 @@
 
   private Node(NodeSettings settings) {
     this.settings = settings;
-    state = new FleetState(clock, declaredDataCentres());
+    state = new FleetState(clock, declaredDataCentres(settings));
     eventLoopGroup = EventLoopGroup.start("node", 1);
     loop = eventLoopGroup.loops().getFirst();
     storeExchanges = createExchangeClient(STORE_CONNECTIONS);
@@ -239,14 +238,9 @@
         .build();
   }
 
-  private Set<DataCentreId> declaredDataCentres() {
-    Set<DataCentreId> dataCentres = new HashSet<>();
-    for (String name : settings.getInstance().getDataCentres().split(",")) {
-      if (!name.isBlank()) {
-        dataCentres.add(new DataCentreId(name.strip()));
-      }
-    }
-    return dataCentres;
+  private static Set<DataCentreId> declaredDataCentres(NodeSettings settings) {
+    return DataCentreNames.parse("settings", settings.getInstance().getDataCentres())
+        .getOrElseThrow(error -> new IllegalArgumentException(error.toString()));
   }
 
   private static long toMilliseconds(double seconds) {
--- a/node/src/main/java/org/flamingochute/node/program/NodeMain.java
+++ b/node/src/main/java/org/flamingochute/node/program/NodeMain.java
@@ -74,7 +74,18 @@
       return Either.left(
           List.of(ErrorReport.of(ErrorCode.SETTINGS_UNREADABLE, file, e.toString())));
     }
-    return new SettingsReader<>(NodeSettings.getDefaultInstance()).read(file, text);
+    return readSettings(file, text);
+  }
+
+  /** Reads settings, and checks the values that the form of the settings cannot express. */
+  static Either<List<ErrorReport>, NodeSettings> readSettings(String file, String text) {
+    return new SettingsReader<>(NodeSettings.getDefaultInstance())
+        .read(file, text)
+        .flatMap(
+            settings ->
+                DataCentreNames.parse(file, settings.getInstance().getDataCentres())
+                    .map(names -> settings)
+                    .mapLeft(List::of));
   }
 
   private static void run(String file) throws InterruptedException {
