Answer 504 for a job whose earlier append may still be executed

Cause: a repeated submission after a 504 was answered 503 at the same node if its own append was not sent in time, or if the store counted as unavailable. 503 promises that the job never runs, while the first append may be executed.

Ruled out: a record of the calls in the store, which would cost an append each.

Change: JobServlet owns UnsettledJobs, with load shedding on or off, and answers 504 for such a job where it would answer 503.

--- a/node/src/main/java/org/flamingochute/node/LoadShedding.java
+++ b/node/src/main/java/org/flamingochute/node/LoadShedding.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.TeamId;
-import org.flamingochute.node.store.IntakeResult;
 import org.flamingochute.scheduling.admission.JobAdmission;
 import org.flamingochute.scheduling.admission.JobRefusal;
 import org.flamingochute.scheduling.fleet.Team;
@@ -21,7 +20,6 @@
   private final NodeClock clock;
   private final FleetState state;
   private final JobAdmission admission = new JobAdmission();
-  private final UnsettledJobs unsettledJobs = new UnsettledJobs();
 
   /** Creates the load shedding of a node, which counts the jobs that are added to its state. */
   public LoadShedding(NodeClock clock, FleetState state) {
@@ -55,30 +53,19 @@
     admission.forgetLoad();
   }
 
-  /** Notes that an append of a job is about to be sent. */
-  public void onAppendBegun(JobId job) {
-    unsettledJobs.onAppendBegun(job);
-  }
-
-  /** Notes the result of an append of a job. */
-  public void onAppendEnded(JobId job, IntakeResult result) {
-    unsettledJobs.onAppendEnded(job, result);
-  }
-
   /**
    * Returns whether a job that this node does not know may have to be refused, so that all stored
    * jobs must be read before the decision.
    */
   public boolean mayRefuse(JobId id, QueuedJob job) {
-    return !unsettledJobs.contains(id)
-        && admission.mayRefuse(id, job, teamOf(job), clock.steadyMilliseconds());
+    return admission.mayRefuse(id, job, teamOf(job), clock.steadyMilliseconds());
   }
 
-  /** Returns the refusal of a job that is not stored, after all stored jobs have been read. */
+  /**
+   * Returns the refusal of a job that is not stored, after all stored jobs have been read. To be
+   * called only if no append of this process may store the job.
+   */
   public Optional<JobRefusal> refusalOf(JobId id, QueuedJob job) {
-    if (unsettledJobs.contains(id)) {
-      return Optional.empty();
-    }
     Optional<JobRefusal> refusal =
         admission.refusalOf(
             id, job, teamOf(job), clock.steadyMilliseconds(), clock.wallClockMilliseconds());
--- a/node/src/main/java/org/flamingochute/node/UnsettledJobs.java
+++ b/node/src/main/java/org/flamingochute/node/UnsettledJobs.java
@@ -10,9 +10,10 @@
 
 /**
  * The jobs that this process has appended to the store, or is appending, and whose outcome it does
- * not know. Such a job may run, so the process must not promise that it never does.
+ * not know. Such a job may run, so the process must not promise that it never does. Used on one
+ * event loop.
  */
-final class UnsettledJobs {
+public final class UnsettledJobs {
   /** Far more than the appends of one node that can end without a response in a store outage. */
   private static final int MAXIMUM_UNKNOWN_JOBS = 16_384;
 
@@ -28,11 +29,13 @@
             }
           });
 
-  void onAppendBegun(JobId job) {
+  /** Notes that an append of a job is about to be sent. */
+  public void onAppendBegun(JobId job) {
     openAppends.merge(job, 1, Integer::sum);
   }
 
-  void onAppendEnded(JobId job, IntakeResult result) {
+  /** Notes the result of an append of a job. */
+  public void onAppendEnded(JobId job, IntakeResult result) {
     openAppends.computeIfPresent(job, (id, count) -> count > 1 ? count - 1 : null);
     if (result == IntakeResult.UNKNOWN) {
       unknownJobs.add(job);
@@ -40,7 +43,7 @@
   }
 
   /** Returns whether the job may be stored through an append of this process. */
-  boolean contains(JobId job) {
+  public boolean contains(JobId job) {
     return openAppends.containsKey(job) || unknownJobs.contains(job);
   }
 }
--- a/node/src/main/java/org/flamingochute/node/front/JobServlet.java
+++ b/node/src/main/java/org/flamingochute/node/front/JobServlet.java
@@ -20,6 +20,7 @@
 import org.flamingochute.node.LoadShedding;
 import org.flamingochute.node.NodeClock;
 import org.flamingochute.node.NodeMetrics;
+import org.flamingochute.node.UnsettledJobs;
 import org.flamingochute.node.store.IntakeResult;
 import org.flamingochute.node.store.IntakeWriter;
 import org.flamingochute.node.store.ScheduleKeys;
@@ -53,6 +54,7 @@
   private final NodeMetrics metrics;
   private final JobLimits limits;
   private final Optional<LoadShedding> loadShedding;
+  private final UnsettledJobs unsettledJobs = new UnsettledJobs();
   private boolean closing;
   private int openCallCount;
 
@@ -296,7 +298,10 @@
       return Promise.of(CallResponse.ok("the job is already stored"));
     }
     if (intake.isStoreUnavailable()) {
-      return Promise.of(storeUnavailableResponse());
+      return Promise.of(
+          unsettledJobs.contains(id)
+              ? responseOf(IntakeResult.UNKNOWN, "")
+              : storeUnavailableResponse());
     }
     QueuedJob job;
     try {
@@ -316,7 +321,7 @@
     if (jobsRead == JobsRead.NOT_TRIED && mayRefuse(id, job)) {
       return readJobs().then(result -> store(request, id, body, startedAt, result));
     }
-    if (jobsRead == JobsRead.COMPLETE) {
+    if (jobsRead == JobsRead.COMPLETE && !unsettledJobs.contains(id)) {
       Optional<JobRefusal> refusal = loadShedding.flatMap(shedding -> shedding.refusalOf(id, job));
       if (refusal.isPresent()) {
         return Promise.of(refusedResponse(refusal.get()));
@@ -326,7 +331,8 @@
   }
 
   private boolean mayRefuse(JobId id, QueuedJob job) {
-    return loadShedding.map(shedding -> shedding.mayRefuse(id, job)).orElse(false);
+    return !unsettledJobs.contains(id)
+        && loadShedding.map(shedding -> shedding.mayRefuse(id, job)).orElse(false);
   }
 
   /**
@@ -351,19 +357,26 @@
   }
 
   private Promise<CallResponse> appendJob(JobId id, QueuedJob job, long timeoutMilliseconds) {
-    loadShedding.ifPresent(shedding -> shedding.onAppendBegun(id));
+    unsettledJobs.onAppendBegun(id);
     KeyedValue record = new KeyedValue(ScheduleKeys.job(id), job.toByteArray());
     return append(record, timeoutMilliseconds)
         .map(
             result -> {
-              loadShedding.ifPresent(shedding -> shedding.onAppendEnded(id, result));
+              unsettledJobs.onAppendEnded(id, result);
               if (result == IntakeResult.STORED) {
                 state.applyJob(id, job);
               }
-              return responseOf(result, "stored");
+              return responseOf(outcomeOf(id, result), "stored");
             });
   }
 
+  /** Another append of the job may still be executed, although this one was not sent. */
+  private IntakeResult outcomeOf(JobId id, IntakeResult result) {
+    return result == IntakeResult.NOT_STORED && unsettledJobs.contains(id)
+        ? IntakeResult.UNKNOWN
+        : result;
+  }
+
   private QueuedJob jobOf(byte[] body, CallAuthorizer.AuthorizedCall call) throws WireException {
     return SubmissionCodec.read(body, limits.maximumTasks())
         .setQueue(call.queue().id().value())
--- a/node/src/test/java/org/flamingochute/node/LoadSheddingTest.java
+++ b/node/src/test/java/org/flamingochute/node/LoadSheddingTest.java
@@ -5,9 +5,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Set;
 import org.flamingochute.decision.identity.JobId;
-import org.flamingochute.node.store.IntakeResult;
 import org.flamingochute.node.store.ScheduleKeys;
 import org.flamingochute.platform.wire.StoreRecord;
 import org.flamingochute.schema.scheduling.FleetLoad;
@@ -16,8 +14,6 @@
 import org.flamingochute.schema.scheduling.QueuedStep;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Guards against a refusal of a job that this node may have stored, and against wrong counts of a
@@ -103,30 +99,4 @@
     state.intakeListener().onSnapshot(List.of(record(1), record(2), record(3)));
     assertThat(isRefused(), is(false));
   }
-
-  /** The append may be stored at any time, and then the job runs. */
-  @Test
-  void jobIsNotRefusedDuringItsAppend() {
-    useUpRate();
-    shedding.onAppendBegun(JOB);
-    shedding.onAppendBegun(JOB);
-    shedding.onAppendEnded(JOB, IntakeResult.NOT_STORED);
-    assertThat(shedding.refusalOf(JOB, job()).isPresent(), is(false));
-    assertThat(isRefused(), is(false));
-  }
-
-  /** After an unknown outcome the store may still execute the append, also much later. */
-  @ParameterizedTest
-  @EnumSource(IntakeResult.class)
-  void jobIsRefusedAfterItsAppendOnlyIfTheOutcomeIsKnown(IntakeResult result) {
-    useUpRate();
-    shedding.onAppendBegun(JOB);
-    shedding.onAppendEnded(JOB, result);
-    shedding.onAppendBegun(JOB);
-    shedding.onAppendEnded(JOB, IntakeResult.NOT_STORED);
-    // A stored job is known to the servlet, which answers 200 before it asks for a refusal.
-    boolean expected = Set.of(IntakeResult.NOT_STORED, IntakeResult.STORED).contains(result);
-    assertThat(isRefused(), is(expected));
-    assertThat(shedding.refusalOf(JOB, job()).isPresent(), is(expected));
-  }
 }
--- a/node/src/test/java/org/flamingochute/node/front/JobRefusalTest.java
+++ b/node/src/test/java/org/flamingochute/node/front/JobRefusalTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.node.FleetState;
 import org.flamingochute.node.LoadShedding;
@@ -48,6 +49,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests which submissions a node refuses while their pool is overloaded. Reads reach the platform
@@ -68,17 +71,19 @@
       "tenants":[{"name":"t","api_keys":["k"],"weight":1}]}
       """;
 
-  /** Stands still, so that the load does not become old. */
+  private final AtomicLong now = new AtomicLong(1_000_000);
+
+  /** Stands still unless a test moves it, so that the load does not become old. */
   private final NodeClock clock =
       new NodeClock() {
         @Override
         public long steadyMilliseconds() {
-          return 1_000_000;
+          return now.get();
         }
 
         @Override
         public long wallClockMilliseconds() {
-          return 1_000_000;
+          return now.get();
         }
       };
 
@@ -150,6 +155,10 @@
   }
 
   private JobServlet servletWith(StoreClient appendedTo) {
+    return servletWith(appendedTo, Optional.of(shedding));
+  }
+
+  private JobServlet servletWith(StoreClient appendedTo, Optional<LoadShedding> usedShedding) {
     StoreFollower other = follower(StoreTopic.DECLARATIONS, state.declarationListener());
     return new JobServlet(
         new HttpDependencies(
@@ -160,7 +169,7 @@
             new JobFreshness(intake, intake, TIMEOUT_MILLISECONDS),
             new NodeMetrics(),
             new JobLimits(1 << 20),
-            Optional.of(shedding)),
+            usedShedding),
         new CallAuthorizer(state, other, Long.MAX_VALUE));
   }
 
@@ -271,6 +280,39 @@
     assertThat(submit(servlet, JOB, 200).statusCode() == 429, is(false));
   }
 
+  /**
+   * Guards against the promise "not stored" for a job whose earlier append may still be executed:
+   * the repeated call's append waits for the one in progress, and is not sent before its timeout.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void jobWhoseAppendGotNoResponseIsNotReportedAsNotStored(boolean sheds) throws Exception {
+    loadJobs();
+    JobServlet servlet =
+        servletWith(
+            storeAt("127.0.0.1:" + silentServer.getLocalPort()),
+            sheds ? Optional.of(shedding) : Optional.empty());
+    assertThat("first call", submit(servlet, JOB, 200).statusCode(), is(504));
+    assertThat("repeated call", submit(servlet, JOB, 151).statusCode(), is(504));
+  }
+
+  /** Guards against the same promise while the store counts as unavailable. */
+  @Test
+  void unsettledJobIsNotReportedAsNotStoredDuringAnOutage() throws Exception {
+    loadJobs();
+    JobServlet servlet = servletWithSilentStore();
+    assertThat("first call", submit(servlet, JOB, 200).statusCode(), is(504));
+    int calls = 0;
+    String body = "";
+    while (!body.contains("the store does not answer")) {
+      // Less than the time after which a call probes the store again.
+      now.addAndGet(400);
+      calls++;
+      body = submit(servlet, new JobId("%016x".formatted(calls)), 151).body();
+    }
+    assertThat("repeated call", submit(servlet, JOB, 151).statusCode(), is(504));
+  }
+
   /** Guards against a refusal by a node that cannot know whether the job is stored. */
   @Test
   void jobIsNotRefusedIfTheJobsCannotBeRead() throws Exception {
