Keep unreadable records and late commands from breaking a takeover

Cause: four faults, found by reading. A machine command that waited for the store longer than 3.6 s was sent after, or with, a record without its machine; a successor could command the same machine 1.2 s later. A record machine-commands that could not be parsed left the former one in force, and one with an invalid name made the first claim of the successor fail. A progress record that could not be read counted as no progress (or as the former one), so a successor would run finished tasks again. A group with a negative worker position threw an exception that nothing caught for a single record: all records after it in a loaded topic were lost.

Ruled out: counting the retention from the answer to a command, which needs a count of open commands for each machine. Scheduling a job with unreadable progress from its former record: tasks may have succeeded since.

Change: MachineCommandSender asks the fence directly before it sends (beginMachineCommand). An unreadable record replaces the former one, with the stricter meaning: the successor waits with all machines, and starts none of the job's tasks (job_not_scheduled). CompactProgress.validate checks positions, names, phases and the workers of assigned tasks.

groupOfAnUnknownWorkerIsRefused now also has negative positions; the message names the allowed range.

--- a/node/src/main/java/org/flamingochute/node/leadership/MachineCommandSender.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/MachineCommandSender.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.List;
+import org.flamingochute.decision.identity.MachineId;
 import org.flamingochute.node.NodeClock;
 import org.flamingochute.platform.wire.MachineClient;
 import org.flamingochute.platform.wire.MachineListOutcome;
@@ -14,8 +15,8 @@
 /**
  * Sends machine commands during one term, and refreshes the scheduler's list of machines.
  *
- * <p>A command may have waited for its record, so whether the term is recent enough is checked
- * again when it is sent.
+ * <p>A command may have waited for its record, so whether the term is recent enough, and whether
+ * the machine is still recorded, is checked again when it is sent.
  */
 final class MachineCommandSender {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -52,7 +53,7 @@
   }
 
   void move(SchedulerCommand.MoveMachine move) {
-    if (!context.canCommandMachines()) {
+    if (!mayCommand(move.machine())) {
       onMoveAnswered(move, MachineOutcome.THROTTLED);
       return;
     }
@@ -61,6 +62,11 @@
         .thenAccept(outcome -> onMoveAnswered(move, outcome));
   }
 
+  private boolean mayCommand(MachineId machine) {
+    return context.canCommandMachines()
+        && scheduler.beginMachineCommand(machine, clock.steadyMilliseconds());
+  }
+
   private void onMoveAnswered(SchedulerCommand.MoveMachine move, MachineOutcome outcome) {
     if (checkTermOver(outcome)) {
       return;
@@ -70,7 +76,7 @@
   }
 
   void maintain(SchedulerCommand.MaintainMachine command) {
-    if (!context.canCommandMachines()) {
+    if (!mayCommand(command.machine())) {
       onMaintenanceAnswered(command, MachineOutcome.THROTTLED);
       return;
     }
--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
@@ -57,7 +57,7 @@
   private final LeaderCandidate candidate;
   private final Map<Long, WaveProgress> waveProgress = new HashMap<>();
   private Optional<PoolHistory> poolHistory = Optional.empty();
-  private MachineCommands machineCommands = MachineCommands.getDefaultInstance();
+  private Optional<MachineCommands> machineCommands = Optional.empty();
   private Optional<LoadShedding> loadShedding = Optional.empty();
   private Optional<StoreFollower> scheduleFollower = Optional.empty();
   private Optional<StoreFollower> intakeFollower = Optional.empty();
@@ -197,10 +197,9 @@
     scheduler.onEvacuationsChanged(state.evacuatedDataCentres());
     poolHistory.ifPresent(scheduler::restorePoolHistory);
     // The record of an earlier term lacks the commands of the terms after it.
-    if (machineCommands.getEpoch() == predecessorEpoch) {
-      scheduler.restoreMachineCommands(
-          machineCommands.getMachinesList().stream().map(MachineId::new).toList());
-    }
+    machineCommands
+        .filter(commands -> commands.getEpoch() == predecessorEpoch)
+        .ifPresent(commands -> scheduler.restoreMachineCommands(machinesOf(commands)));
     state.workers().forEach(report -> scheduler.onWorkerListed(report, now));
     state.unlistedWorkers().forEach(scheduler::restoreUnlistedWorker);
     for (StoredJob job : state.jobs().jobsByAcceptance()) {
@@ -218,6 +217,10 @@
     newDriver.start();
   }
 
+  private static List<MachineId> machinesOf(MachineCommands commands) {
+    return commands.getMachinesList().stream().map(MachineId::new).toList();
+  }
+
   private void onTermEnded() {
     driver = Optional.empty();
     leadershipCallback.accept(false);
@@ -269,7 +272,7 @@
       return;
     }
     if (record.key().equals(ScheduleKeys.MACHINE_COMMANDS)) {
-      machineCommands = MachineCommands.parseFrom(record.value());
+      applyMachineCommands(record);
       return;
     }
     if (record.key().equals(ScheduleKeys.FLEET_LOAD)) {
@@ -284,9 +287,33 @@
     if (record.isTombstone()) {
       state.jobs().delete(job.get());
     } else {
+      applyProgress(job.get(), record);
+    }
+  }
+
+  /** Applies the progress of a job; one that cannot be read does not count as no progress. */
+  private void applyProgress(JobId job, StoreRecord record) throws InvalidProtocolBufferException {
+    try {
       JobProgress progress = JobProgress.parseFrom(record.value());
       CompactProgress.validate(progress);
-      state.jobs().updateProgress(job.get(), progress);
+      state.jobs().updateProgress(job, progress);
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+      state.jobs().setProgressUnreadable(job);
+      throw e;
+    }
+  }
+
+  /**
+   * Applies the machines that a leader may have commanded. A record that cannot be read replaces
+   * the former one too, so that a successor waits with all machines.
+   */
+  private void applyMachineCommands(StoreRecord record) throws InvalidProtocolBufferException {
+    machineCommands = Optional.empty();
+    if (!record.isTombstone()) {
+      MachineCommands commands = MachineCommands.parseFrom(record.value());
+      // Refuses names that would make a later takeover fail.
+      machinesOf(commands);
+      machineCommands = Optional.of(commands);
     }
   }
 
--- a/node/src/test/java/org/flamingochute/node/leadership/OutdatedTermTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/OutdatedTermTest.java
@@ -178,6 +178,18 @@
     assertThat(get("/ledger"), containsString("\"most_in_maintenance\":0"));
   }
 
+  /** Its record was replaced by one without the machine while it waited for the store. */
+  @Test
+  void machineThatIsNoLongerRecordedIsNotMaintained() throws Exception {
+    MachineCommandSender sender =
+        new MachineCommandSender(
+            clock, new MachineClient(exchanges, address), term, scheduler, "holder");
+    loop.execute(
+        () -> sender.maintain(new SchedulerCommand.MaintainMachine(new MachineId("machine-0"), 1)));
+    term.awaitChange();
+    assertThat(get("/ledger"), containsString("\"most_in_maintenance\":0"));
+  }
+
   @Test
   void taskIsNotStarted() throws Exception {
     WorkerReport worker = awaitWorker();
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/MachineCommandFence.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/MachineCommandFence.java
@@ -80,6 +80,15 @@
     incomplete = true;
   }
 
+  /**
+   * Returns whether a command may still be sent, and if so notes the time. To be called directly
+   * before it is sent. A record that waited for the store may be followed by one without the
+   * machine; a command sent then would be unknown to a successor.
+   */
+  boolean beginCommand(MachineId machine, long now) {
+    return commandedAt.computeIfPresent(machine, (commanded, time) -> now) != null;
+  }
+
   /** Has the machines recorded if the newest record is incomplete, or has been outdated a while. */
   void update(long now) {
     removeExpired(now);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -165,12 +165,17 @@
 
   /**
    * Adds a job from the store, with its recorded progress; does nothing if the job is known
-   * already.
+   * already. A job whose progress cannot be read is not added: its tasks may be running or done, so
+   * none of them may be started.
    */
   public void onJobStored(StoredJob storedJob, long now, long wallClockMilliseconds) {
     if (jobs.isKnown(storedJob.id())) {
       return;
     }
+    if (storedJob.isProgressUnreadable()) {
+      logger.atWarning().log("event=job_not_scheduled job=%s", storedJob.id());
+      return;
+    }
     if (storedJob.definition().isEmpty()) {
       deleteOrphanedProgress(storedJob);
       return;
@@ -383,6 +388,14 @@
     waveController.addWave(request, progress);
   }
 
+  /**
+   * Returns whether a command for a machine is still covered by the record of commanded machines.
+   * To be called directly before the command is sent.
+   */
+  public boolean beginMachineCommand(MachineId machine, long now) {
+    return machineCommandFence.beginCommand(machine, now);
+  }
+
   /** Handles the platform's response to a maintenance command. */
   public void onMaintenanceAnswered(
       SchedulerCommand.MaintainMachine command, MachineOutcome outcome, long now) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/job/CompactProgress.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/job/CompactProgress.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.flamingochute.decision.identity.Identifiers;
 import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.TaskGroup;
 import org.flamingochute.schema.scheduling.TaskProgress;
@@ -56,7 +57,11 @@
   }
 
   private static boolean isGroupable(TaskProgress task) {
-    return task.getCheckpoint().isEmpty() && !task.hasCopy() && !task.getStartRepeated();
+    boolean isWorkerNamed = !task.getWorker().isEmpty() || task.getWorkerBornMilliseconds() == 0;
+    return isWorkerNamed
+        && task.getCheckpoint().isEmpty()
+        && !task.hasCopy()
+        && !task.getStartRepeated();
   }
 
   private static GroupKey keyOf(TaskProgress task) {
@@ -96,7 +101,7 @@
         .setWorker(worker);
   }
 
-  /** Returns the progress with one entry for each task. */
+  /** Returns the progress, which must be valid, with one entry for each task. */
   public static JobProgress expand(JobProgress progress) {
     if (progress.getGroupsCount() == 0) {
       return progress;
@@ -122,10 +127,6 @@
     if (group.getWorker() == 0) {
       return task;
     }
-    if (group.getWorker() > progress.getWorkersCount()) {
-      throw new IllegalArgumentException(
-          "field worker: " + group.getWorker() + ", more than " + progress.getWorkersCount());
-    }
     WorkerIncarnation worker = progress.getWorkers(group.getWorker() - 1);
     return task.setWorker(worker.getWorker())
         .setWorkerBornMilliseconds(worker.getBornMilliseconds());
@@ -136,10 +137,39 @@
     return progress.getTasksCount() > 0 || progress.getGroupsCount() > 0;
   }
 
-  /** Checks that each group refers to a worker of the record, so that it can be expanded later. */
+  /**
+   * Checks that progress in either form can be expanded and restored later.
+   *
+   * @throws IllegalArgumentException when a phase is not known, or a worker is missing or invalid
+   */
   public static void validate(JobProgress progress) {
+    if (progress.getPhase() == JobProgress.Phase.UNRECOGNIZED) {
+      throw new IllegalArgumentException("field phase: " + progress.getPhaseValue());
+    }
+    for (WorkerIncarnation worker : progress.getWorkersList()) {
+      if (!Identifiers.isValid(worker.getWorker())) {
+        throw new IllegalArgumentException("field workers: \"" + worker.getWorker() + "\"");
+      }
+    }
     for (TaskGroup group : progress.getGroupsList()) {
-      taskOf(group, progress);
+      if (group.getWorker() < 0 || group.getWorker() > progress.getWorkersCount()) {
+        throw new IllegalArgumentException(
+            "field worker: " + group.getWorker() + ", not in 0 to " + progress.getWorkersCount());
+      }
+      validate(group.getPhase(), group.getWorker() > 0);
+    }
+    for (TaskProgress task : progress.getTasksList()) {
+      // As bytes, since a node that does not lead needs no text of it.
+      validate(task.getPhase(), !task.getWorkerBytes().isEmpty());
+    }
+  }
+
+  private static void validate(TaskProgress.Phase phase, boolean hasWorker) {
+    if (phase == TaskProgress.Phase.UNRECOGNIZED) {
+      throw new IllegalArgumentException("field phase of a task: unknown value");
+    }
+    if (phase == TaskProgress.Phase.ASSIGNED && !hasWorker) {
+      throw new IllegalArgumentException("field worker: missing for an assigned task");
     }
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/job/JobTable.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/job/JobTable.java
@@ -53,6 +53,14 @@
     return storedJob;
   }
 
+  /** Notes that the newest progress record of a job cannot be read; a readable one ends this. */
+  public void setProgressUnreadable(JobId id) {
+    StoredJob storedJob = findOrAddJob(id);
+    updateQueuedCount(storedJob, -1);
+    storedJob.setProgressUnreadable();
+    updateQueuedCount(storedJob, 1);
+  }
+
   /** Deletes a job. */
   public void delete(JobId id) {
     StoredJob storedJob = jobs.remove(id);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/job/StoredJob.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/job/StoredJob.java
@@ -10,6 +10,7 @@
   private final JobId id;
   private Optional<QueuedJob> definition = Optional.empty();
   private Optional<JobProgress> progress = Optional.empty();
+  private boolean progressUnreadable;
   private boolean cancelled;
 
   StoredJob(JobId id) {
@@ -31,6 +32,11 @@
     return progress.map(CompactProgress::expand);
   }
 
+  /** Returns whether the newest record of the job's progress cannot be read. */
+  public boolean isProgressUnreadable() {
+    return progressUnreadable;
+  }
+
   /** Returns whether a caller has cancelled the job. */
   public boolean isCancelled() {
     return cancelled;
@@ -42,6 +48,11 @@
 
   void updateProgress(JobProgress newest) {
     progress = Optional.of(newest);
+    progressUnreadable = false;
+  }
+
+  void setProgressUnreadable() {
+    progressUnreadable = true;
   }
 
   void cancel() {
@@ -67,6 +78,6 @@
   }
 
   private boolean hasStarted() {
-    return progress.isPresent() && CompactProgress.hasTasks(progress.get());
+    return progressUnreadable || progress.isPresent() && CompactProgress.hasTasks(progress.get());
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/leadership/TermRenewal.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/leadership/TermRenewal.java
@@ -7,7 +7,8 @@
  *
  * <p>Any record of the leader renews its term, so while it records progress all the time it writes
  * no terms. One must be written nevertheless when the leases of earlier leaders have expired: a
- * successor that reads that they may still be in force waits for them, and moves no machines.
+ * successor that reads that they may still be in force waits for them, and commands no machine that
+ * this leader may have commanded.
  */
 public final class TermRenewal {
   private final LeaderTerm term;
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/MachineCommandFenceTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/MachineCommandFenceTest.java
@@ -60,6 +60,27 @@
     assertThat(recordedAt(100).orElseThrow(), containsInAnyOrder(COMMANDED, OTHER));
   }
 
+  /** The store was unavailable between the decision and the record of a command. */
+  @Test
+  void commandIsNotSentOnceItsMachineHasLeftTheRecord() {
+    fence.restore(List.of());
+    fence.onCommand(COMMANDED, 6_000);
+    recordedAt(6_000);
+    recordedAt(6_000 + RETENTION);
+    assertThat(fence.beginCommand(COMMANDED, 6_000 + RETENTION), is(false));
+  }
+
+  @Test
+  void machineStaysInTheRecordForTheRetentionAfterTheCommandIsSent() {
+    fence.restore(List.of());
+    fence.onCommand(COMMANDED, 6_000);
+    recordedAt(6_000);
+    final long sentAt = 6_000 + RETENTION - 1;
+    assertThat(fence.beginCommand(COMMANDED, sentAt), is(true));
+    assertThat(recordedAt(sentAt + RETENTION - 1), is(Optional.empty()));
+    assertThat(recordedAt(sentAt + RETENTION).orElseThrow(), is(empty()));
+  }
+
   @Test
   void machinesLeaveTheRecordOnceTheirCommandsAreLongAgo() {
     fence.restore(List.of());
--- a/scheduling/src/test/java/org/flamingochute/scheduling/job/CompactProgressTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/job/CompactProgressTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.google.protobuf.Descriptors.FieldDescriptor;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -14,6 +15,7 @@
 import org.flamingochute.schema.scheduling.TaskCopy;
 import org.flamingochute.schema.scheduling.TaskGroup;
 import org.flamingochute.schema.scheduling.TaskProgress;
+import org.flamingochute.schema.scheduling.WorkerIncarnation;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -98,14 +100,86 @@
         is(false));
   }
 
+  /** Guards against a field of a task that a later version adds and that groups do not express. */
   @Test
-  void groupOfAnUnknownWorkerIsRefused() {
+  void everyFieldOfTaskIsKept() {
+    for (FieldDescriptor field : TaskProgress.getDescriptor().getFields()) {
+      TaskProgress task =
+          task(1, 2, TaskProgress.Phase.DONE).setField(field, valueOf(field)).build();
+      JobProgress progress = JobProgress.newBuilder().addTasks(task).build();
+      JobProgress expanded = CompactProgress.expand(CompactProgress.compact(progress));
+      assertThat(field.getName(), expanded, equalTo(progress));
+    }
+  }
+
+  private static Object valueOf(FieldDescriptor field) {
+    return switch (field.getJavaType()) {
+      case INT -> 7;
+      case LONG -> 7L;
+      case BOOLEAN -> true;
+      case STRING -> "text";
+      case ENUM -> field.getEnumType().getValues().getLast();
+      case MESSAGE -> TaskCopy.newBuilder().setAttempt(2).build();
+      default -> throw new AssertionError("no value for the type of " + field);
+    };
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {2, -1, Integer.MIN_VALUE})
+  void groupOfAnUnknownWorkerIsRefused(int worker) {
     JobProgress progress =
         JobProgress.newBuilder()
-            .addGroups(TaskGroup.newBuilder().setWorker(2).addIndexes(0))
+            .addGroups(TaskGroup.newBuilder().setWorker(worker).addIndexes(0))
             .build();
+    assertRefused(progress, "field worker: " + worker + ", not in 0 to 0");
+  }
+
+  private static void assertRefused(JobProgress progress, String message) {
     IllegalArgumentException error =
         assertThrows(IllegalArgumentException.class, () -> CompactProgress.validate(progress));
-    assertThat(error.getMessage(), is("field worker: 2, more than 0"));
+    assertThat(error.getMessage(), is(message));
+  }
+
+  /** Such a record would make the node fail that takes over the leadership. */
+  @Test
+  void assignedTaskWithoutValidWorkerIsRefused() {
+    TaskGroup.Builder group = TaskGroup.newBuilder().setPhase(TaskProgress.Phase.ASSIGNED);
+    assertRefused(
+        JobProgress.newBuilder().addGroups(group).build(),
+        "field worker: missing for an assigned task");
+    assertRefused(
+        JobProgress.newBuilder().addTasks(task(0, 0, TaskProgress.Phase.ASSIGNED)).build(),
+        "field worker: missing for an assigned task");
+    assertRefused(
+        JobProgress.newBuilder()
+            .addWorkers(WorkerIncarnation.getDefaultInstance())
+            .addGroups(group.setWorker(1))
+            .build(),
+        "field workers: \"\"");
+  }
+
+  /** A task whose phase is not known may be done, so it must not count as waiting. */
+  @Test
+  void unknownPhaseIsRefused() {
+    assertRefused(JobProgress.newBuilder().setPhaseValue(9).build(), "field phase: 9");
+    assertRefused(
+        JobProgress.newBuilder().addTasks(TaskProgress.newBuilder().setPhaseValue(9)).build(),
+        "field phase of a task: unknown value");
+    assertRefused(
+        JobProgress.newBuilder().addGroups(TaskGroup.newBuilder().setPhaseValue(9)).build(),
+        "field phase of a task: unknown value");
+  }
+
+  /** Guards against a check that refuses what the scheduler writes. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void writtenProgressIsValid(long seed) {
+    Random random = new Random(seed);
+    JobProgress.Builder progress = JobProgress.newBuilder();
+    for (int index = 0; index < 30; index++) {
+      progress.addTasks(randomTask(random, 0, index));
+    }
+    CompactProgress.validate(progress.build());
+    CompactProgress.validate(CompactProgress.compact(progress.build()));
   }
 }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/job/JobTableTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/job/JobTableTest.java
@@ -82,4 +82,17 @@
     assertThat(table.find(JOB).isEmpty(), is(true));
     assertThat(table.queuedCount(QUEUE), is(0));
   }
+
+  /** Guards against a job that may have run and is reported, or treated, as one that has not. */
+  @Test
+  void jobWithUnreadableProgressIsNotQueued() {
+    table.define(JOB, job("p"));
+    table.setProgressUnreadable(JOB);
+    assertThat(table.find(JOB).orElseThrow().isProgressUnreadable(), is(true));
+    assertThat(table.find(JOB).orElseThrow().phase(), is(JobPhase.RUNNING));
+    assertThat(table.queuedCount(QUEUE), is(0));
+    table.updateProgress(JOB, JobProgress.getDefaultInstance());
+    assertThat(table.find(JOB).orElseThrow().isProgressUnreadable(), is(false));
+    assertThat(table.queuedCount(QUEUE), is(1));
+  }
 }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedLeader.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedLeader.java
@@ -137,14 +137,19 @@
         execution.pace(pace);
         scheduler.onPaceAnswered(pace, true, now);
       }
-      case SchedulerCommand.MoveMachine move ->
-          scheduler.onMoveAnswered(move, execution.move(move, scheduler), now);
+      case SchedulerCommand.MoveMachine move -> scheduler.onMoveAnswered(move, move(move), now);
       case SchedulerCommand.MaintainMachine maintenance ->
           scheduler.onMaintenanceAnswered(maintenance, MachineOutcome.DONE, now);
       case SchedulerCommand.ReportWave report -> {}
     }
   }
 
+  private MachineOutcome move(SchedulerCommand.MoveMachine move) {
+    return scheduler.beginMachineCommand(move.machine(), now)
+        ? execution.move(move, scheduler)
+        : MachineOutcome.THROTTLED;
+  }
+
   private void start(SchedulerCommand.StartTask start) {
     if (!scheduler.beginStart(start)) {
       return;
