--- a/scheduling/src/main/java/org/flamingochute/scheduling/job/StoredJob.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/job/StoredJob.java
@@ -12,6 +12,7 @@
   private Optional<QueuedJob> definition = Optional.empty();
   private Optional<JobProgress> progress = Optional.empty();
   private JobStatus status = JobStatus.getDefaultInstance();
+  private boolean progressUnreadable;
   private boolean cancelled;
 
   StoredJob(JobId id) {
@@ -33,6 +34,11 @@
     return progress.map(CompactProgress::expand);
   }
 
+  /** Returns whether the newest record of the job's progress cannot be read. */
+  public boolean isProgressUnreadable() {
+    return progressUnreadable;
+  }
+
   /** Returns whether a caller has cancelled the job. */
   public boolean isCancelled() {
     return cancelled;
@@ -44,6 +50,11 @@
 
   void updateProgress(JobProgress newest) {
     progress = Optional.of(newest);
+    progressUnreadable = false;
+  }
+
+  void setProgressUnreadable() {
+    progressUnreadable = true;
   }
 
   /** Applies a status; a status that is behind the known one changes nothing. */
@@ -83,6 +94,8 @@
   }
 
   private boolean hasStarted() {
-    return status.getStarted() || progress.isPresent() && CompactProgress.hasTasks(progress.get());
+    return status.getStarted()
+        || progressUnreadable
+        || progress.isPresent() && CompactProgress.hasTasks(progress.get());
   }
 }
