Measure a promoted copy from its own start, and start none on cold workers

Cause: when a copy became the only run of its task, the task kept the timer of its first run, so LearnedDurations learned the time of both runs. CopyStarter looked at Worker.slow only, while placement also ranks cold workers behind.

Ruled out: a copy that succeeds beside its first run was measured correctly before (copyIsMeasuredFromItsOwnStart, false). A copy on a worker in an evacuated data centre was withdrawn before (unsentCopyIsWithdrawnFromEvacuatedDataCentre).

Change: a task takes over the timer with the run. Cold workers get no copies.

Measured: copyIsMeasuredFromItsOwnStart (true) and coldWorkerGetsNoCopy fail without the change and hold with it.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CopyStarter.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CopyStarter.java
@@ -19,8 +19,8 @@
 /**
  * Starts copies of slow runs on capacity that no waiting task needs.
  *
- * <p>A copy runs on another worker than the first run, one that is neither slow nor suspended, and
- * counts against its team's cap. The number of copies in a pool is limited.
+ * <p>A copy runs on another worker than the first run, one that is neither slow, cold nor
+ * suspended, and counts against its team's cap. The number of copies in a pool is limited.
  */
 final class CopyStarter {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -176,7 +176,7 @@
   private List<Worker> targetsIn(PoolId pool, long now) {
     List<Worker> targets = new ArrayList<>();
     for (Worker worker : workers.all()) {
-      boolean isHealthy = worker.isSchedulable() && !worker.slow;
+      boolean isHealthy = worker.isSchedulable() && !ColdWorkers.countsAsSlow(worker, now);
       if (isHealthy
           && worker.report.pool().equals(pool)
           && !workerSelector.isLimited(worker, now)) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/RunTimer.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/RunTimer.java
@@ -19,6 +19,13 @@
     started = false;
   }
 
+  /** Continues the measurement of a run that another timer has measured so far. */
+  void takeOver(RunTimer other) {
+    valid = other.valid;
+    started = other.started;
+    startedAt = other.startedAt;
+  }
+
   /** Notes the confirmation of the start. */
   void start(long now) {
     if (!started) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -174,6 +174,8 @@
     statusReceivedAt = other.statusReceivedAt;
     reportedUsage = other.reportedUsage;
     pacePercent = other.pacePercent;
+    wasPaced = other.wasPaced;
+    timer.takeOver(other.timer);
   }
 
   /** Returns the attempt numbers of runs whose start may still be executed. */
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/DurationObservationTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/DurationObservationTest.java
@@ -26,19 +26,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Only full runs at full pace, whose begin and end are known, may be observed as durations. */
 class DurationObservationTest {
   private static final WorkerKey WORKER = new WorkerKey(new InstanceId("w"), 1);
-  private static final WorkerReport REPORT =
-      new WorkerReport(
-          WORKER,
-          new PoolId("p"),
-          "10.0.0.1:80",
-          new DataCentreId("a"),
-          new ResourceVector(8_000, 8_000, 0),
-          List.of(),
-          false);
+  private static final WorkerKey OTHER_WORKER = new WorkerKey(new InstanceId("other"), 1);
   private static final int RUNS = 20;
   private static final long ESTIMATE_MILLISECONDS = 100;
   private static final long DURATION_MILLISECONDS = 1_000;
@@ -73,14 +66,29 @@
   private long now = 1_000;
 
   @BeforeEach
-  void listWorker() {
-    workerTracker.onWorkerListed(REPORT, now);
+  void listWorkers() {
+    for (WorkerKey key : List.of(WORKER, OTHER_WORKER)) {
+      workerTracker.onWorkerListed(
+          new WorkerReport(
+              key,
+              new PoolId("p"),
+              key.id().value(),
+              new DataCentreId("a"),
+              new ResourceVector(8_000, 8_000, 0),
+              List.of(),
+              false),
+          now);
+    }
   }
 
   private Worker worker() {
     return workers.find(WORKER).orElseThrow();
   }
 
+  private Worker otherWorker() {
+    return workers.find(OTHER_WORKER).orElseThrow();
+  }
+
   private Task submit(int number) {
     QueuedStep step =
         QueuedStep.newBuilder()
@@ -102,25 +110,38 @@
 
   private void start(Task task, StartOutcome outcome) {
     lifecycle.assign(task, worker(), 1, now);
-    SchedulerCommand.StartTask start = new SchedulerCommand.StartTask(WORKER, task.id, 1, "", "");
+    answerStart(WORKER, task, outcome);
+  }
+
+  private void answerStart(WorkerKey worker, Task run, StartOutcome outcome) {
+    SchedulerCommand.StartTask start =
+        new SchedulerCommand.StartTask(worker, run.id, run.attempt, "", "");
     commandTracker.beginStart(start);
     now += ANSWER_MILLISECONDS;
     commandTracker.onStartAnswered(start, outcome, now, now);
   }
 
   private void list(Task task, int percent) {
-    receive(List.of(new RunningTask(task.id, task.attempt, "", percent, 0)));
+    receive(WORKER, List.of(running(task, percent)));
+  }
+
+  private static RunningTask running(Task run, int percent) {
+    return new RunningTask(run.id, run.attempt, "", percent, 0);
   }
 
   private void end(Task task) {
-    finished.add(new FinishedTask(finished.size() + 1, task.id, task.attempt, EndReason.DONE, ""));
-    receive(List.of());
-    assertThat(task.isDone(), is(true));
+    end(WORKER, task);
+  }
+
+  private void end(WorkerKey worker, Task run) {
+    finished.add(new FinishedTask(finished.size() + 1, run.id, run.attempt, EndReason.DONE, ""));
+    receive(worker, List.of());
+    assertThat(run.original().isDone(), is(true));
   }
 
-  private void receive(List<RunningTask> running) {
+  private void receive(WorkerKey worker, List<RunningTask> running) {
     WorkerStatus status = new WorkerStatus(1, now, running, finished);
-    statusProcessor.onLeaseRenewed(WORKER, status, now, now, now);
+    statusProcessor.onLeaseRenewed(worker, status, now, now, now);
   }
 
   private void run(Task task, Disturbance disturbance) {
@@ -198,6 +219,33 @@
     assertThat(durations.expectedMilliseconds(task.step, "q"), is(DURATION_MILLISECONDS));
   }
 
+  /**
+   * Guards against a duration that counts from the start of the slow first run, both for a copy
+   * that succeeds beside it and for one that has become the only run.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void copyIsMeasuredFromItsOwnStart(boolean promoted) {
+    Task task = submit(0);
+    for (int i = 0; i < RUNS; i++) {
+      task = submit(i);
+      start(task, StartOutcome.STARTED);
+      now += DURATION_MILLISECONDS;
+      lifecycle.startCopy(task, otherWorker(), now);
+      Task run = task.copy.orElseThrow();
+      answerStart(OTHER_WORKER, run, StartOutcome.STARTED);
+      if (promoted) {
+        lifecycle.release(task, "failed");
+        run = task;
+      }
+      now += DURATION_MILLISECONDS / 2;
+      receive(OTHER_WORKER, List.of(running(run, 50)));
+      now += DURATION_MILLISECONDS / 2;
+      end(OTHER_WORKER, run);
+    }
+    assertThat(durations.expectedMilliseconds(task.step, "q"), is(DURATION_MILLISECONDS));
+  }
+
   @ParameterizedTest
   @EnumSource(Disturbance.class)
   void disturbedRunsAreNotObserved(Disturbance disturbance) {
--- a/scheduling/src/test/java/org/flamingochute/scheduling/speculation/CopiesOfSlowTasksTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/speculation/CopiesOfSlowTasksTest.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.flamingochute.decision.identity.DataCentreId;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.identity.QueueId;
@@ -39,6 +40,7 @@
  */
 class CopiesOfSlowTasksTest {
   private static final PoolId POOL = new PoolId("p");
+  private static final DataCentreId DATA_CENTRE = new DataCentreId("dc");
   private static final JobId JOB = new JobId("slow");
   private static final TaskId TASK = new TaskId(JOB, 0, 0, 0);
   private static final TeamId TEAM = new TeamId("team");
@@ -72,7 +74,11 @@
             declaration, SchedulingFeatures.builder().speculativeCopies(copies).build());
     for (String worker : List.of("w0", "w1")) {
       created.addWorker(
-          worker, POOL, new ResourceVector(1_000L * SLOTS_PER_WORKER, 8_000, 0), List.of());
+          worker,
+          POOL,
+          new ResourceVector(1_000L * SLOTS_PER_WORKER, 8_000, 0),
+          List.of(),
+          DATA_CENTRE);
     }
     created.advance(START_UP_MILLISECONDS);
     return created;
@@ -306,6 +312,17 @@
   /** Guards against a second run with the attempt number of a copy that was recorded only. */
   @Test
   void successorDropsCopyThatWasNotSent() {
+    recordCopyWithoutSendingIt();
+    fleet.store().setResponseDelay(0);
+    fleet.replaceLeader(false);
+    fleet.advance(LEASE_MILLISECONDS);
+    assertThat(fleet.phase(JOB), is(JobPhase.COMPLETED));
+    assertThat("last attempt", lastAttempt(), greaterThan(2));
+    checkAttempts();
+  }
+
+  /** Starts a slow task, up to a copy whose record the leader does not know to be durable yet. */
+  private void recordCopyWithoutSendingIt() {
     startSlowTask();
     while (fleet.startsOf(TASK) == 1) {
       fleet.advance(STEP_MILLISECONDS);
@@ -317,12 +334,31 @@
     fleet.store().setResponseDelay(1_000);
     fleet.advance(STEP_MILLISECONDS);
     assertThat("starts", fleet.startsOf(TASK), is(1));
+  }
+
+  /** Guards against a copy that starts in a data centre after operators have evacuated it. */
+  @Test
+  void unsentCopyIsWithdrawnFromEvacuatedDataCentre() {
+    recordCopyWithoutSendingIt();
+    fleet.evacuate(DATA_CENTRE);
     fleet.store().setResponseDelay(0);
-    fleet.replaceLeader(false);
-    fleet.advance(LEASE_MILLISECONDS);
-    assertThat(fleet.phase(JOB), is(JobPhase.COMPLETED));
-    assertThat("last attempt", lastAttempt(), greaterThan(2));
-    checkAttempts();
+    fleet.advance(1_500);
+    assertThat("starts during the evacuation", fleet.startsOf(TASK), is(1));
+    assertThat("first run goes on", fleet.runningCountOf(JOB), is(1));
+    fleet.endEvacuation(DATA_CENTRE);
+    fleet.advance(1_500);
+    assertThat("last attempt", lastAttempt(), is(3));
+    checkCompleted(2);
+  }
+
+  /** Guards against a copy on a worker that runs it as slowly as the first run. */
+  @Test
+  void coldWorkerGetsNoCopy() {
+    startSlowTask();
+    otherWorker().reportCold(fleet.now() + 1_000);
+    fleet.advance(900);
+    assertThat("starts while it is cold", fleet.startsOf(TASK), is(1));
+    awaitCopy();
   }
 
   private int lastAttempt() {
