Withdraw refused starts when an evacuation ends, and count no capacity there

Cause: beginStart refuses a start in an evacuated data centre and leaves its withdrawal to the next pass. If the request was deleted before that pass, the task stayed assigned without a start, and its job never ended. PoolWaits counted the workers of evacuated data centres as capacity, so nodes accepted jobs that could not be completed in time.

Ruled out: no run could start twice, since the refused start is not repeated.

Change: unsent starts are withdrawn before new requests replace the old ones. Evacuated workers are no capacity. A gang starts above every attempt number of its members, as other tasks do; gangs have no copies today.

Measured: refusedStartIsWithdrawnWhenTheRequestEnds, evacuatedWorkersAreNoCapacity and gangStartsAboveEveryRecordedAttempt fail without the change and hold with it.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/DataCentreEvacuation.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/DataCentreEvacuation.java
@@ -34,6 +34,8 @@
 
   /** Sets the data centres to evacuate, and withdraws at once what was not sent to them. */
   void replace(Set<DataCentreId> requested) {
+    // A start that was refused since the last pass is not tried again once its request has ended.
+    withdrawUnsentStarts();
     dataCentres = Set.copyOf(requested);
     markWorkers();
     withdrawUnsentStarts();
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolWaits.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolWaits.java
@@ -134,7 +134,11 @@
    * otherwise a new leader would predict long waits from the first workers that respond to it.
    */
   private static boolean isCapacity(Worker worker) {
-    return worker.listed && !worker.unreachable && !worker.cordoned && !worker.report.draining();
+    return worker.listed
+        && !worker.unreachable
+        && !worker.cordoned
+        && !worker.evacuated
+        && !worker.report.draining();
   }
 
   private void addJob(
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskPlacer.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskPlacer.java
@@ -132,12 +132,12 @@
 
   /** Places all members of a gang with the same attempt number, or none of them. */
   private void placeGang(Task[] tasks, List<Worker> poolWorkers, ResourceVector cap, long now) {
-    int attempt = 0;
+    int attempt = 1;
     for (Task task : tasks) {
       if (!task.isWaiting() || task.earliestStartAt > now) {
         return;
       }
-      attempt = Math.max(attempt, task.attempt);
+      attempt = Math.max(attempt, task.nextAttempt());
     }
     List<Task> reservedTasks = new ArrayList<>();
     StringBuilder placedRuns = new StringBuilder();
@@ -156,7 +156,7 @@
     for (Task task : reservedTasks) {
       Worker worker = task.worker.orElseThrow();
       lifecycle.cancelReservation(task);
-      lifecycle.assign(task, worker, attempt + 1, now);
+      lifecycle.assign(task, worker, attempt, now);
       appendPlaced(placedRuns, task, worker);
     }
     logPlaced(tasks[0], placedRuns);
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/PoolWaitsTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/PoolWaitsTest.java
@@ -150,6 +150,26 @@
     assertThat(writtenAfter(300), is(Optional.empty()));
   }
 
+  /** Guards against jobs that are accepted for capacity on which no task may start. */
+  @Test
+  void evacuatedWorkersAreNoCapacity() {
+    startWorkers(2);
+    scheduler.onWorkerListed(
+        new WorkerReport(
+            key(2),
+            POOL,
+            "w2",
+            new DataCentreId("lost"),
+            new ResourceVector(CAPACITY, 65_536, 0),
+            List.of(),
+            false),
+        now);
+    reach(2);
+    scheduler.onEvacuationsChanged(Set.of(new DataCentreId("lost")));
+    submit("", tasks(16));
+    assertThat(writtenAfter(300), is(Optional.of(Map.of("p", 4_000L))));
+  }
+
   /** Tasks that their team's cap holds back leave the capacity to others. */
   @Test
   void tasksBeyondTheTeamCapDoNotWaitForCapacity() {
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/WithdrawnStartTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/WithdrawnStartTest.java
@@ -21,9 +21,12 @@
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.scheduling.worker.WorkerStatus;
+import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.QueuePolicy;
 import org.flamingochute.schema.scheduling.QueuedJob;
 import org.flamingochute.schema.scheduling.QueuedStep;
+import org.flamingochute.schema.scheduling.TaskCopy;
+import org.flamingochute.schema.scheduling.TaskProgress;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -64,6 +67,11 @@
   }
 
   private void submit(int count, boolean gang) {
+    define(count, gang);
+    scheduler.onJobStored(stored.find(JOB).orElseThrow(), now, now);
+  }
+
+  private void define(int count, boolean gang) {
     QueuedStep.Builder step =
         QueuedStep.newBuilder()
             .setCount(count)
@@ -72,7 +80,7 @@
             .setMaximumPerWorker(1)
             .setGang(gang);
     QueuedJob job = QueuedJob.newBuilder().setQueue("q").addSteps(step).build();
-    scheduler.onJobStored(stored.define(JOB, job), now, now);
+    stored.define(JOB, job);
   }
 
   /** Decides and records; returns the starts that are to be sent. */
@@ -123,6 +131,23 @@
     assertThat("after the request was removed", scheduler.beginStart(first), is(false));
   }
 
+  /**
+   * Guards against a task that waits forever for a start that was refused during an evacuation that
+   * ended before the next pass.
+   */
+  @Test
+  void refusedStartIsWithdrawnWhenTheRequestEnds() {
+    listWorker("lost", LOST);
+    submit(1, false);
+    SchedulerCommand.StartTask first = decide().getFirst();
+    assertThat("before the request", scheduler.beginStart(first), is(true));
+    scheduler.onEvacuationsChanged(Set.of(LOST));
+    scheduler.onStartNotSent(first);
+    assertThat("after the request", scheduler.beginStart(first), is(false));
+    scheduler.onEvacuationsChanged(Set.of());
+    assertThat(attemptsByWorker(decide()), is(Map.of("lost", 2)));
+  }
+
   /** A start that was sent may be executed, so its task must not start elsewhere. */
   @Test
   void sentStartIsNotWithdrawn() {
@@ -153,4 +178,18 @@
     listWorker("kept-2", KEPT);
     assertThat(attemptsByWorker(decide()), is(Map.of("kept-1", 2, "kept-2", 2)));
   }
+
+  /** Guards against a gang member that starts with a number that another run of its task had. */
+  @Test
+  void gangStartsAboveEveryRecordedAttempt() {
+    define(2, true);
+    TaskCopy dropped = TaskCopy.newBuilder().setAttempt(4).build();
+    TaskProgress member =
+        TaskProgress.newBuilder().setIndex(1).setAttempt(1).setCopy(dropped).build();
+    stored.updateProgress(JOB, JobProgress.newBuilder().addTasks(member).build());
+    listWorker("kept-1", KEPT);
+    listWorker("kept-2", KEPT);
+    scheduler.onJobStored(stored.find(JOB).orElseThrow(), now, now);
+    assertThat(attemptsByWorker(decide()), is(Map.of("kept-1", 5, "kept-2", 5)));
+  }
 }
