Store compact records in a third of the random schedules

Cause: random schedules restored leaders from full records only, while the deployment writes compact ones.

Ruled out: CompactProgress loses neither the losing run of a task that is done nor a used attempt number (copiesAndUsedAttemptsAreKept held before).

Change: SimulatedStore compacts progress with the feature compactRecords, which seeds divisible by 3 have, with and without copies.

--- a/scheduling/src/test/java/org/flamingochute/scheduling/job/CompactProgressTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/job/CompactProgressTest.java
@@ -16,6 +16,7 @@
 import org.flamingochute.schema.scheduling.TaskProgress;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against progress that is lost or changed in its compact form. */
@@ -77,6 +78,28 @@
     assertThat(expanded.getEndedMilliseconds(), is(7L));
   }
 
+  /** Guards against a losing run that a successor does not stop, or a number that two runs get. */
+  @ParameterizedTest
+  @EnumSource(
+      value = TaskProgress.Phase.class,
+      names = {"WAITING", "ASSIGNED", "DONE"})
+  void copiesAndUsedAttemptsAreKept(TaskProgress.Phase phase) {
+    TaskCopy run =
+        TaskCopy.newBuilder()
+            .setAttempt(2)
+            .setWorker("other")
+            .setWorkerBornMilliseconds(BORN)
+            .build();
+    JobProgress progress =
+        JobProgress.newBuilder()
+            .addTasks(task(0, 0, phase).setCopy(run))
+            .addTasks(task(0, 1, phase))
+            .addTasks(task(0, 2, phase).setCopy(TaskCopy.newBuilder().setAttempt(2)))
+            .build();
+    JobProgress expanded = CompactProgress.expand(CompactProgress.compact(progress));
+    assertThat(sorted(expanded), equalTo(sorted(progress)));
+  }
+
   @Test
   void similarTasksTakeLessSpace() {
     JobProgress.Builder progress = JobProgress.newBuilder();
--- a/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomSchedule.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomSchedule.java
@@ -72,13 +72,6 @@
     this(seed, featuresOf(seed), true);
   }
 
-  private static SchedulingFeatures featuresOf(long seed) {
-    return SchedulingFeatures.builder()
-        .learnedDurations(Math.floorMod(seed, 2) == 0)
-        .speculativeCopies(Math.floorMod(seed, 4) == 2)
-        .build();
-  }
-
   /** Creates a schedule in which data centres are evacuated now and then. */
   RandomSchedule(long seed, SchedulingFeatures features) {
     this(seed, features, true);
@@ -105,6 +98,14 @@
     evacuations = evacuates ? Optional.of(new RandomEvacuations(seed, fleet)) : Optional.empty();
   }
 
+  private static SchedulingFeatures featuresOf(long seed) {
+    return SchedulingFeatures.builder()
+        .learnedDurations(Math.floorMod(seed, 2) == 0)
+        .speculativeCopies(Math.floorMod(seed, 4) == 2)
+        .compactRecords(Math.floorMod(seed, 3) == 0)
+        .build();
+  }
+
   /** Creates a schedule without evacuations and optional parts. */
   static RandomSchedule withoutEvacuations(long seed) {
     return new RandomSchedule(seed, SchedulingFeatures.NONE, false);
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -40,7 +40,7 @@
   private final SchedulerSettings settings;
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
   private final SimulatedMachines machines = new SimulatedMachines();
-  private final SimulatedStore store = new SimulatedStore();
+  private final SimulatedStore store;
   private final SimulatedRuns runs;
   private final SimulatedNetwork network = new SimulatedNetwork();
   private final SimulatedReports reports = new SimulatedReports();
@@ -73,6 +73,7 @@
             .maximumLeaseMilliseconds(SimulatedWorker.MAXIMUM_LEASE_MILLISECONDS)
             .features(features)
             .build();
+    store = new SimulatedStore(features.compactRecords());
     runs = new SimulatedRuns(store.jobs(), features.speculativeCopies());
     execution = new SimulatedExecution(this, runs, settings.leaseMilliseconds());
     leader = newLeader(PredecessorState.OVER);
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedStore.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedStore.java
@@ -6,6 +6,7 @@
 import org.flamingochute.decision.identity.MachineId;
 import org.flamingochute.scheduling.core.Scheduler;
 import org.flamingochute.scheduling.core.SchedulerBatch;
+import org.flamingochute.scheduling.job.CompactProgress;
 import org.flamingochute.scheduling.job.JobTable;
 import org.flamingochute.scheduling.job.StoredJob;
 import org.flamingochute.schema.scheduling.JobProgress;
@@ -39,6 +40,7 @@
   }
 
   private final JobTable jobs = new JobTable();
+  private final boolean compactRecords;
   private Optional<CommandedMachines> commandedMachines = Optional.empty();
   private Fault fault = Fault.NONE;
   private long epoch;
@@ -46,6 +48,15 @@
 
   private record CommandedMachines(long epoch, List<MachineId> machines) {}
 
+  /**
+   * Creates an empty store.
+   *
+   * @param compactRecords whether leaders write the progress of jobs in a compact form
+   */
+  SimulatedStore(boolean compactRecords) {
+    this.compactRecords = compactRecords;
+  }
+
   JobTable jobs() {
     return jobs;
   }
@@ -77,7 +88,7 @@
     if (leaderEpoch < epoch) {
       return AppendOutcome.FENCED;
     }
-    batch.records().forEach(jobs::updateProgress);
+    batch.records().forEach(this::updateProgress);
     batch.deletedJobs().forEach(jobs::delete);
     batch
         .machineCommands()
@@ -87,6 +98,10 @@
     return AppendOutcome.EXECUTED;
   }
 
+  private void updateProgress(JobId id, JobProgress progress) {
+    jobs.updateProgress(id, compactRecords ? CompactProgress.compact(progress) : progress);
+  }
+
   /** Returns the machines that the leader of a term recorded last, if it recorded any list. */
   Optional<List<MachineId>> commandedMachines(long leaderEpoch) {
     return commandedMachines
