Check team caps in random schedules with copies

Cause: no random schedule had a team, so a copy that is not counted against its team's cap, or stays counted, would not have been found.

Change: where copies are enabled, every second batch job belongs to a team with a cap of 6 cores. SimulatedRuns fails if the runs of a team, by the workers' own state, exceed its cap; this holds for every simulated fleet.

--- a/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomJobs.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomJobs.java
@@ -20,6 +20,10 @@
   private static final int MAXIMUM_TASK_MILLISECONDS = 2_000;
   private static final long ENDLESS_MILLISECONDS = 1_000_000;
   private static final long TAIL_TARGET_MILLISECONDS = 200;
+
+  /** Team of every second batch job if copies are enabled; its cap holds some of them back. */
+  static final String CAPPED_TEAM = "capped";
+
   static final String DISTURBING_IMAGE = "disturbing";
 
   /** Factor by which some first runs are slower if copies are enabled. */
@@ -75,6 +79,9 @@
             .setPayload("payload of " + id)
             .setPolicy(QueuePolicy.newBuilder().setMaximumAttempts(maximumAttempts))
             .setAcceptedMilliseconds(fleet.now());
+    if (kind >= 5 && copiesEnabled && jobs.size() % 2 == 0) {
+      job.setOrganisation(CAPPED_TEAM);
+    }
     if (kind < 5) {
       QueuedStep.Builder step = randomStep().setLongRunning(true);
       if (serving) {
--- a/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomSchedule.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomSchedule.java
@@ -4,14 +4,17 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.identity.QueueId;
+import org.flamingochute.decision.identity.TeamId;
 import org.flamingochute.decision.placement.ResourceVector;
 import org.flamingochute.scheduling.core.SchedulingFeatures;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.Pool;
 import org.flamingochute.scheduling.fleet.Queue;
+import org.flamingochute.scheduling.fleet.Team;
 import org.flamingochute.scheduling.job.JobPhase;
 import org.flamingochute.scheduling.simulation.SimulatedFleet;
 import org.flamingochute.schema.scheduling.QueuePolicy;
@@ -20,16 +23,17 @@
  * One schedule of random events and faults, determined by its seed.
  *
  * <p>In some schedules copies of slow runs are enabled. The simulated fleet checks at each step
- * that no task runs twice unless its step allows copies and they are enabled, that no acknowledged
- * end is missing in the store, that every start is of a task whose turn has come, with its own
- * payload and checkpoint, and that no task starts in a data centre that has been evacuated for 5 s.
- * This class checks that after the last fault every job ends in time.
+ * that no task runs twice unless its step allows copies and they are enabled, that no team exceeds
+ * its cap, that no acknowledged end is missing in the store, that every start is of a task whose
+ * turn has come, with its own payload and checkpoint, and that no task starts in a data centre that
+ * has been evacuated for 5 s. This class checks that after the last fault every job ends in time.
  */
 final class RandomSchedule {
   private static final PoolId POOL = new PoolId("p");
   private static final String QUEUE = "q";
   private static final int WORKERS = 6;
   private static final ResourceVector CAPACITY = new ResourceVector(32_000, 65_536, 0);
+  private static final ResourceVector TEAM_CAP = new ResourceVector(6_000, 0, 0);
   private static final int MAXIMUM_ATTEMPTS = 4;
   private static final long CHECKPOINT_MILLISECONDS = 500;
   private static final long START_UP_MILLISECONDS = 300;
@@ -123,6 +127,7 @@
         .version(1)
         .queue(new Queue(new QueueId(QUEUE), "host", "/q/", 3_000, true, policy))
         .pool(new Pool(POOL, true, false))
+        .team(new Team(new TeamId(RandomJobs.CAPPED_TEAM), Set.of(), 0, TEAM_CAP))
         .build();
   }
 
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -29,8 +29,9 @@
  * Simulates workers, a store and one scheduler in virtual time.
  *
  * <p>It checks invariants of the runs on the workers: after each step, that no task runs on two
- * workers at once, or on more than two if its step allows copies and they are enabled, and at each
- * start, that the success of the task was not acknowledged before.
+ * workers at once, or on more than two if its step allows copies and they are enabled, and that no
+ * team exceeds its cap; and at each start, that the success of the task was not acknowledged
+ * before.
  */
 public final class SimulatedFleet {
   private static final long STEP_DURATION_MILLISECONDS = 10;
@@ -318,6 +319,7 @@
     listMachines();
     leaders().forEach(SimulatedLeader::step);
     runs.checkRunning(workers.values(), now);
+    runs.checkCaps(workers.values(), declaration, now);
   }
 
   private List<SimulatedLeader> leaders() {
--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedRuns.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedRuns.java
@@ -9,7 +9,9 @@
 import org.flamingochute.decision.identity.DataCentreId;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.TaskId;
+import org.flamingochute.decision.identity.TeamId;
 import org.flamingochute.scheduling.core.SchedulerCommand;
+import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.job.JobTable;
 import org.flamingochute.scheduling.job.StoredJob;
 import org.flamingochute.scheduling.worker.EndReason;
@@ -253,6 +255,29 @@
     }
   }
 
+  /** Fails if the runs of a team, copies included, use more processor time than its cap allows. */
+  void checkCaps(Collection<SimulatedWorker> workers, FleetDeclaration declaration, long now) {
+    Map<TeamId, Long> usedMillicores = new HashMap<>();
+    for (SimulatedWorker worker : workers) {
+      for (SimulatedWorker.Run run : worker.runs()) {
+        String team = submitted.get(run.task.job()).getOrganisation();
+        if (!team.isEmpty()) {
+          usedMillicores.merge(
+              new TeamId(team), (long) stepOf(run.task).getProcessorMillicores(), Long::sum);
+        }
+      }
+    }
+    usedMillicores.forEach(
+        (team, used) -> {
+          long cap =
+              declaration.team(team).map(found -> found.cap().processorMillicores()).orElse(0L);
+          if (cap > 0 && used > cap) {
+            throw new AssertionError(
+                "%s uses %d of %d millicores at %d".formatted(team, used, cap, now));
+          }
+        });
+  }
+
   private void checkJobHasNotEnded(TaskId task, SimulatedWorker worker, long now) {
     boolean ended =
         storedJobs
