Give copies in random schedules random numbers of their own

Cause: evacuations and the choices for copies used the same sequence, so both depended on the same numbers.

Change: the choices for copies have another seed, so schedules with copies are others than before.

--- a/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomSchedule.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/schedule/RandomSchedule.java
@@ -34,6 +34,10 @@
   private static final int WORKERS = 6;
   private static final ResourceVector CAPACITY = new ResourceVector(32_000, 65_536, 0);
   private static final ResourceVector TEAM_CAP = new ResourceVector(6_000, 0, 0);
+
+  /** Evacuations use the complement of the seed, and would otherwise depend on the same numbers. */
+  private static final long COPY_SEED_FACTOR = 1_000_003;
+
   private static final int MAXIMUM_ATTEMPTS = 4;
   private static final long CHECKPOINT_MILLISECONDS = 500;
   private static final long START_UP_MILLISECONDS = 300;
@@ -88,7 +92,7 @@
     jobs =
         new RandomJobs(
             random,
-            new Random(~seed),
+            new Random(COPY_SEED_FACTOR * seed),
             features.speculativeCopies(),
             fleet,
             QUEUE,
