--- a/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/simulation/SimulatedFleet.java
@@ -29,8 +29,9 @@
  * Simulates workers, a store and one scheduler in virtual time.
  *
  * <p>It checks invariants of the runs on the workers: after each step, that no task runs on two
- * workers at once, or on more than two if its step allows copies and they are enabled, and at each
- * start, that the success of the task was not acknowledged before.
+ * workers at once, or on more than two if its step allows copies and they are enabled, and that no
+ * team exceeds its cap; and at each start, that the success of the task was not acknowledged
+ * before.
  */
 public final class SimulatedFleet {
   private static final long STEP_DURATION_MILLISECONDS = 10;
@@ -40,7 +41,7 @@
   private final SchedulerSettings settings;
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
   private final SimulatedMachines machines = new SimulatedMachines();
-  private final SimulatedStore store = new SimulatedStore();
+  private final SimulatedStore store;
   private final SimulatedRuns runs;
   private final SimulatedNetwork network = new SimulatedNetwork();
   private final SimulatedReports reports = new SimulatedReports();
@@ -73,6 +74,7 @@
             .maximumLeaseMilliseconds(SimulatedWorker.MAXIMUM_LEASE_MILLISECONDS)
             .features(features)
             .build();
+    store = new SimulatedStore(features.compactRecords());
     runs = new SimulatedRuns(store.jobs(), features.speculativeCopies());
     execution = new SimulatedExecution(this, runs, settings.leaseMilliseconds());
     leader = newLeader(PredecessorState.OVER);
@@ -322,6 +324,7 @@
     listMachines();
     leaders().forEach(SimulatedLeader::step);
     runs.checkRunning(workers.values(), now);
+    runs.checkCaps(workers.values(), declaration, now);
   }
 
   private List<SimulatedLeader> leaders() {
