Let the leader's reads of new jobs wait for 250 ms at most

Change: StoreFollower.setLongPoll; the leader's reads of INTAKE wait for 250 ms. About three more calls a second by one node. Not measured by itself.

--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -52,6 +52,12 @@
   private static final long WORKER_LONG_POLL_MILLISECONDS = 900;
   private static final long INTAKE_LONG_POLL_MILLISECONDS = 900;
 
+  /**
+   * A read that waits while the store drops its history is not answered when a job arrives, only at
+   * the end of its wait, and meanwhile the leader starts no new jobs.
+   */
+  private static final long LEADER_INTAKE_LONG_POLL_MILLISECONDS = 250;
+
   /**
    * Shorter than the others, since the time since the leader's last renewal counts only while
    * responses of the store arrive.
@@ -362,6 +368,8 @@
    */
   private void setFollowerPauses(boolean isLeader) {
     intake.setPause(isLeader ? 0 : INTAKE_PAUSE_MILLISECONDS);
+    intake.setLongPoll(
+        isLeader ? LEADER_INTAKE_LONG_POLL_MILLISECONDS : INTAKE_LONG_POLL_MILLISECONDS);
     workers.setPause(isLeader ? SCHEDULER_WORKER_PAUSE_MILLISECONDS : WORKER_PAUSE_MILLISECONDS);
     schedule.setPause(isLeader ? WORKER_PAUSE_MILLISECONDS : PROGRESS_PAUSE_MILLISECONDS);
   }
--- a/node/src/main/java/org/flamingochute/node/store/StoreFollower.java
+++ b/node/src/main/java/org/flamingochute/node/store/StoreFollower.java
@@ -55,8 +55,8 @@
   private final NodeClock clock;
   private final StoreClient store;
   private final StoreTopic topic;
-  private final long longPollMilliseconds;
   private final TopicListener listener;
+  private long longPollMilliseconds;
   private long pauseMilliseconds;
   private boolean stopped;
   private boolean loaded;
@@ -114,6 +114,11 @@
     }
   }
 
+  /** Changes how long the store waits for a record before it responds to the next reads. */
+  public void setLongPoll(long milliseconds) {
+    longPollMilliseconds = milliseconds;
+  }
+
   /**
    * Immediately reads the records after the newest delivered one.
    *
