--- a/scheduling/src/test/java/org/flamingochute/scheduling/speculation/CopiesOfSlowTasksTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/speculation/CopiesOfSlowTasksTest.java
@@ -309,6 +309,33 @@
     checkCompleted(2);
   }
 
+  /** Guards against a loser that runs on beside later steps, since its job has not ended. */
+  @Test
+  void successorStopsTheRunThatLostInAnOpenJob() {
+    fleet.slowDownFirstRun(TASK, SLOW_FACTOR);
+    QueuedJob job =
+        QueuedJob.newBuilder()
+            .setQueue("q")
+            .setPolicy(policy())
+            .addSteps(step())
+            .addSteps(step().addDependencies(0))
+            .build();
+    fleet.submit(JOB, job, TASK_MILLISECONDS);
+    fleet.advance(20);
+    final WorkerFaultInjector first = fleet.worker(fleet.lastWorkerOf(TASK));
+    awaitCopy();
+    first.setReachable(false);
+    fleet.advance(1_100);
+    fleet.replaceLeader(true);
+    first.setReachable(true);
+    fleet.advance(300);
+    assertThat(fleet.phase(JOB), is(JobPhase.RUNNING));
+    assertThat("starts", fleet.startsOf(TASK), is(2));
+    assertThat("runs", fleet.runningCountOf(JOB), is(1));
+    fleet.advance(1_000);
+    checkCompleted(2);
+  }
+
   /** Guards against a second run with the attempt number of a copy that was recorded only. */
   @Test
   void successorDropsCopyThatWasNotSent() {
