Start no copy whose failure would end its job

Cause: with one attempt left, a copy that failed ended the job although its first run was healthy.

Ruled out: not counting the failures of copies; the limit of attempts counts all failed runs.

Change: CopyStarter. failureOfCopyCountsOnce expected FAILED with one attempt; it is replaced by failureOfCopyDoesNotEndTheJob (no copy is started then) and failuresOfBothRunsCount, which requires that both failures count.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CopyStarter.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CopyStarter.java
@@ -122,7 +122,13 @@
         && task.copy.isEmpty()
         && task.job.isOpen()
         && task.pacePercent == Task.FULL_PERCENT
-        && task.earliestCopyAt <= now;
+        && task.earliestCopyAt <= now
+        && toleratesFailure(task);
+  }
+
+  /** Returns whether the job goes on if the copy fails; a healthy first run must not be lost. */
+  private static boolean toleratesFailure(Task task) {
+    return task.failures + 1 < task.job.policy.getMaximumAttempts();
   }
 
   private RunObservation observe(Task task, Worker worker, long now) {
