Count workers that were added since the last placement against a pool's shortage

Cause: DataCentreEvacuationTest moved three machines instead of two: after machines had arrived, the shortage of the placement before was added to them.

Change: CapacityShortage remembers the number of workers at its placement; workers that this leader has not called yet count as machines that are on their way. The bound of the test is unchanged.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CapacityShortage.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CapacityShortage.java
@@ -20,6 +20,7 @@
 
   private static final class Shortage {
     private double machines;
+    private int workers;
     private long since = Long.MAX_VALUE;
   }
 
@@ -35,16 +36,18 @@
   /**
    * Adds tasks of a step that no worker of the pool had room for.
    *
-   * @param capacity capacity of a worker of the pool
+   * @param workers number of workers in the pool that tasks could be placed on
+   * @param capacity capacity of one of them
    */
-  void add(PoolId pool, QueuedStep step, int tasks, ResourceVector capacity) {
+  void add(PoolId pool, QueuedStep step, int tasks, int workers, ResourceVector capacity) {
     long tasksPerMachine = tasksPerMachine(step, capacity);
     // Another machine of the pool would not help a task that needs a label or a larger machine.
     if (tasksPerMachine == 0 || !step.getRequiredLabel().isEmpty()) {
       return;
     }
-    shortages.computeIfAbsent(pool, id -> new Shortage()).machines +=
-        (double) tasks / tasksPerMachine;
+    Shortage shortage = shortages.computeIfAbsent(pool, id -> new Shortage());
+    shortage.machines += (double) tasks / tasksPerMachine;
+    shortage.workers = workers;
   }
 
   /** Returns how many tasks of a step run on one empty machine. */
@@ -72,10 +75,18 @@
     }
   }
 
-  /** Returns how many machines a pool has lacked for a while. */
-  int missingMachines(PoolId pool, long now) {
+  /**
+   * Returns how many machines a pool has lacked for a while.
+   *
+   * @param workers number of workers in the pool that tasks can be placed on now; those that have
+   *     been added since the last pass of placement have room
+   */
+  int missingMachines(PoolId pool, int workers, long now) {
     Shortage shortage = shortages.get(pool);
-    boolean lasts = shortage != null && shortage.since <= now - MINIMUM_DURATION_MILLISECONDS;
-    return lasts ? (int) Math.ceil(shortage.machines) : 0;
+    if (shortage == null || shortage.since > now - MINIMUM_DURATION_MILLISECONDS) {
+      return 0;
+    }
+    int added = Math.max(0, workers - shortage.workers);
+    return Math.max(0, (int) Math.ceil(shortage.machines) - added);
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlan.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlan.java
@@ -18,12 +18,13 @@
   /** Number of machines in the pool or moving to it, not counting those to be evacuated. */
   int machineCount;
 
-  /** Number of counted machines that are not moving. */
+  /** Number of counted machines that are not moving, and whose workers were called. */
   int settledCount;
 
-  /**
-   * Number of machines beyond those that are not moving that waiting tasks have no room without.
-   */
+  /** Number of counted machines on whose workers tasks can be placed. */
+  int schedulableCount;
+
+  /** Number of machines that waiting tasks need besides the {@link #settledCount} ones. */
   int missingMachines;
 
   /** Number of counted machines whose workers are cold. */
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -128,7 +128,7 @@
     for (PoolPlan plan : plans.values()) {
       if (!plan.pool.standby()) {
         PoolLoad load = loadsByPool.getOrDefault(plan.pool.id(), new PoolLoad());
-        plan.missingMachines = shortage.missingMachines(plan.pool.id(), now);
+        plan.missingMachines = shortage.missingMachines(plan.pool.id(), plan.schedulableCount, now);
         historyChanged |= requirements.update(plan, load, machineCapacity, wallClockMilliseconds);
       }
     }
@@ -241,9 +241,7 @@
       return;
     }
     plan.machineCount++;
-    if (isSettled && machine.state() == Machine.State.UP) {
-      plan.settledCount++;
-    }
+    countWorker(plan, machine, isSettled);
     if (ColdWorkers.isCold(machine, workers, now)) {
       plan.coldMachineCount++;
     }
@@ -252,6 +250,20 @@
     }
   }
 
+  private void countWorker(PoolPlan plan, Machine machine, boolean isSettled) {
+    Optional<Worker> worker = machine.worker().flatMap(workers::find);
+    if (!isSettled || machine.state() != Machine.State.UP || worker.isEmpty()) {
+      return;
+    }
+    if (worker.get().isSchedulable()) {
+      plan.schedulableCount++;
+    }
+    // A worker that this leader has not called yet may have room, as a machine that moves may.
+    if (worker.get().leaseConfirmed || worker.get().unreachable) {
+      plan.settledCount++;
+    }
+  }
+
   private boolean isIdle(Machine machine, Pool pool) {
     if (pool.standby()) {
       return true;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskPlacer.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskPlacer.java
@@ -125,7 +125,7 @@
       }
     }
     ResourceVector capacity = poolWorkers.getFirst().report.capacity();
-    shortage.add(first.job.pool, first.step, count, capacity);
+    shortage.add(first.job.pool, first.step, count, poolWorkers.size(), capacity);
   }
 
   private static void appendPlaced(StringBuilder placedRuns, Task task, Worker worker) {
