Draw more slow runs and steps with copies in the fault soak

That waiting tasks prevented all copies is likely, not shown.

Change: slow runs in 0.4 instead of 0.25 of the eligible jobs, copies in 0.6 instead of 0.4 of the steps.

--- a/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakCallers.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/soak/SoakCallers.java
@@ -35,8 +35,8 @@
   /** Work above which no run is slow, so that accepted jobs end in time. */
   private static final long MAXIMUM_SLOW_WORK_MILLISECONDS = 1_000;
 
-  private static final double SLOW_RUNS_SHARE = 0.25;
-  private static final double COPIES_SHARE = 0.4;
+  private static final double SLOW_RUNS_SHARE = 0.4;
+  private static final double COPIES_SHARE = 0.6;
   private static final int JOBS_PER_WRONG_ESTIMATE = 4;
   private static final int WRONG_ESTIMATE_DIVISOR = 5;
   private static final long POLL_MILLISECONDS = 400;
