Write the predicted waits to SCHEDULE with the topic of job statuses too

Cause: with job_status_topic the leader wrote fleet-load only to JOB_STATUS, which small instances follow. Large instances and the leader read SCHEDULE, so they had no waits and refused no job. Found by reading the diff; no test had both switches on.

Ruled out: letting large instances follow JOB_STATUS as well. They read everything in SCHEDULE already, and a second follower adds reads.

Change: the leader passes a new load to both topics. The process test of refusals runs without the topic, with it at a large instance, and with it at a small one.

--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
@@ -33,6 +33,7 @@
 import org.flamingochute.scheduling.leadership.TermRenewal;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
+import org.flamingochute.schema.scheduling.FleetLoad;
 import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.LeaderTerm;
 import org.flamingochute.schema.scheduling.MachineCommands;
@@ -73,6 +74,10 @@
 
   private final TermRenewal termRenewal;
   private final Map<WorkerKey, WorkerSession> sessions = new HashMap<>();
+
+  /** Newest load of the pools that has not been written to SCHEDULE. */
+  private Optional<FleetLoad> unrecordedFleetLoad = Optional.empty();
+
   private boolean decisionPending;
   private boolean stopped;
   private boolean releasing;
@@ -126,6 +131,7 @@
             : Optional.empty();
   }
 
+  /** Statuses cause no commands, so their writer never has to confirm the term. */
   private ScheduleWriter jobStatusWriter(ClockReading claimedAt) {
     return new ScheduleWriter(
         loop,
@@ -257,12 +263,23 @@
     scheduler.decide(clock.steadyMilliseconds(), clock.wallClockMilliseconds());
     updateSessions();
     scheduler.takeImmediateCommands().forEach(this::execute);
-    jobStatusPublisher.ifPresent(
-        publisher -> scheduler.takeFleetLoad().ifPresent(publisher::publish));
+    publishFleetLoad();
     record();
     machineCommandSender.ifPresent(MachineCommandSender::requestMachines);
   }
 
+  /**
+   * Passes a new load of the pools to both topics: small instances read only the statuses, the
+   * others only SCHEDULE.
+   */
+  private void publishFleetLoad() {
+    Optional<FleetLoad> load = scheduler.takeFleetLoad();
+    if (load.isPresent()) {
+      unrecordedFleetLoad = load;
+      jobStatusPublisher.ifPresent(publisher -> publisher.publish(load.get()));
+    }
+  }
+
   private void updateSessions() {
     Set<WorkerKey> neededWorkers = new HashSet<>();
     for (WorkerReport report : scheduler.workersToRenew()) {
@@ -335,12 +352,9 @@
     if (records.isEmpty() || termRenewal.mustRecordLeaseExpiry(clock.steadyMilliseconds())) {
       records.add(nextTermRecord());
     }
-    if (jobStatusPublisher.isEmpty()) {
-      scheduler
-          .takeFleetLoad()
-          .ifPresent(
-              load -> records.add(new KeyedValue(ScheduleKeys.FLEET_LOAD, load.toByteArray())));
-    }
+    unrecordedFleetLoad.ifPresent(
+        load -> records.add(new KeyedValue(ScheduleKeys.FLEET_LOAD, load.toByteArray())));
+    unrecordedFleetLoad = Optional.empty();
     return records;
   }
 
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolWaits.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolWaits.java
@@ -12,8 +12,8 @@
  * Predicts how long a job that is submitted now and sorted last waits for capacity in each pool.
  *
  * <p>The wait is the remaining work of the tasks that are ready to run, divided by the processor
- * capacity that long-running tasks leave. It is 0 while no task waits for capacity. The result is
- * written with an append that happens anyway.
+ * capacity that long-running tasks leave. It is 0 while no task waits for capacity. The caller
+ * writes the result.
  */
 final class PoolWaits {
   private static final long COMPUTATION_INTERVAL_MILLISECONDS = 300;
@@ -71,7 +71,7 @@
             : Optional.empty();
   }
 
-  /** Removes and returns the load that is to be written with the next append. */
+  /** Removes and returns the load that is to be written. */
   Optional<FleetLoad> take() {
     Optional<FleetLoad> taken = unwrittenLoad;
     if (taken.isPresent()) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -153,7 +153,7 @@
     }
   }
 
-  /** Sets the data centres that operators want to evacuate; no more tasks are started in them. */
+  /** Sets all data centres that are to be evacuated; no more tasks are started in them. */
   public void onEvacuationsChanged(Set<DataCentreId> dataCentres) {
     dataCentreEvacuation.replace(dataCentres);
   }
@@ -395,7 +395,7 @@
    * To be called directly before the command is sent.
    */
   public boolean beginMachineCommand(MachineId machine, long now) {
-    return machineCommandFence.beginCommand(machine, now);
+    return machineCommandFence.trySend(machine, now);
   }
 
   /** Handles the platform's response to a maintenance command. */
@@ -509,8 +509,8 @@
   }
 
   /**
-   * Removes and returns the load of the pools, if it is to be written with the next append. It is
-   * not part of a batch, since a batch may be taken without an append.
+   * Removes and returns the load of the pools, if it is to be written. It is not part of a batch,
+   * since a batch may be taken without an append.
    */
   public Optional<FleetLoad> takeFleetLoad() {
     return poolWaits.take();
--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/LoadSheddingProcessTest.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/LoadSheddingProcessTest.java
@@ -17,8 +17,9 @@
 import org.flamingochute.platform.standin.WorkPayload;
 import org.flamingochute.platform.standin.caller.CallResult;
 import org.flamingochute.platform.standin.caller.NodeClient;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests the refusal of jobs for load with nodes in separate processes. */
 final class LoadSheddingProcessTest {
@@ -70,15 +71,18 @@
 
   /**
    * Guards against a job that is refused for load and runs nevertheless, and against the refusal of
-   * a job that is stored or within its team's rate.
+   * a job that is stored or within its team's rate. With the topic of job statuses, also guards
+   * against the leader writing its load to a topic that the instance does not read.
    */
-  @Test
-  void refusedJobNeverRunsAndOthersAreAccepted() throws Exception {
+  @ParameterizedTest
+  @CsvSource({"false, 2", "true, 2", "true, 1"})
+  void refusedJobNeverRunsAndOthersAreAccepted(boolean hasJobStatusTopic, int largeNodes)
+      throws Exception {
     List<FleetSettings.PoolSize> pools =
         List.of(
             new FleetSettings.PoolSize("workshop", 4), new FleetSettings.PoolSize("reserve", 1));
-    String settings = "[scheduling]\nload_shedding = true";
-    try (NodeCluster cluster = new NodeCluster(folder, NODE_COUNT, pools, settings)) {
+    String settings = "[scheduling]\nload_shedding = true\njob_status_topic = " + hasJobStatusTopic;
+    try (NodeCluster cluster = new NodeCluster(folder, NODE_COUNT, pools, settings, largeNodes)) {
       // The leader reads its own records once a second, so it refuses few jobs itself.
       int leader = cluster.waitForLeader(-1);
       int node = NODE_COUNT - 1 - leader;
