--- a/decision/src/main/java/org/flamingochute/decision/placement/ResourceVector.java
+++ b/decision/src/main/java/org/flamingochute/decision/placement/ResourceVector.java
@@ -45,7 +45,7 @@
         accelerators - other.accelerators);
   }
 
-  /** Returns the given number of copies of this amount. */
+  /** Returns this amount multiplied by a number. */
   public ResourceVector times(long count) {
     return new ResourceVector(
         processorMillicores * count, memoryMebibytes * count, accelerators * count);
--- a/node/src/main/java/org/flamingochute/node/FleetState.java
+++ b/node/src/main/java/org/flamingochute/node/FleetState.java
@@ -46,7 +46,11 @@
     /** Called when a new declaration is in force. */
     void onDeclarationChanged(FleetDeclaration declaration);
 
-    /** Called when operators have requested or ended the evacuation of a data centre. */
+    /**
+     * Called when operators have requested or ended the evacuation of a data centre.
+     *
+     * @param dataCentres all data centres that are to be evacuated now
+     */
     default void onEvacuationsChanged(Set<DataCentreId> dataCentres) {}
 
     /** Called when operators have requested a wave. */
@@ -306,7 +310,7 @@
       return;
     }
     WorkerReport previous = workers.get(read.key().id());
-    WorkerReport report = isReadAgain(read, previous, record.offset()) ? previous : read;
+    WorkerReport report = noteColdReport(read, previous, record.offset()) ? previous : read;
     workers.put(report.key().id(), report);
     unlistedWorkers.remove(report.key().id());
     if (previous != null && report.differsInColdTimeOnly(previous)) {
@@ -317,10 +321,10 @@
   }
 
   /**
-   * Returns whether the record of a cold worker is the one that was read last, and notes its
-   * offset. The time that is left to the worker counts from the first time the record was read.
+   * Notes the offset of a cold worker's record, and returns whether it is the one read last. The
+   * time that is left to the worker counts from the first time the record was read.
    */
-  private boolean isReadAgain(WorkerReport read, WorkerReport previous, long offset) {
+  private boolean noteColdReport(WorkerReport read, WorkerReport previous, long offset) {
     if (read.coldUntil() == WorkerReport.WARM) {
       coldReportOffsets.remove(read.key().id());
       return false;
--- a/node/src/main/java/org/flamingochute/node/leadership/StandbyFollower.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/StandbyFollower.java
@@ -18,7 +18,10 @@
 public final class StandbyFollower {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Several reads in the time in which the leader appends at least one record. */
+  /**
+   * Two reads within the time without a record after which a leader is replaced; the leader appends
+   * every 300 ms.
+   */
   private static final long READ_INTERVAL_MILLISECONDS = 600;
 
   private static final long READ_TIMEOUT_MILLISECONDS = 800;
--- a/node/src/main/java/org/flamingochute/node/program/Node.java
+++ b/node/src/main/java/org/flamingochute/node/program/Node.java
@@ -53,8 +53,8 @@
   private static final long INTAKE_LONG_POLL_MILLISECONDS = 900;
 
   /**
-   * A read that waits while the store drops its history is not answered when a job arrives, only at
-   * the end of its wait, and meanwhile the leader starts no new jobs.
+   * Short, since the store may answer a waiting read only at the end of its wait while it drops its
+   * history, and until then the leader starts no new jobs.
    */
   private static final long LEADER_INTAKE_LONG_POLL_MILLISECONDS = 250;
 
@@ -352,8 +352,8 @@
     jobStatuses.ifPresent(StoreFollower::start);
     standby.ifPresentOrElse(StandbyFollower::start, this::followLeader);
     leadership.start(schedule, intake, this::setFollowerPauses);
-    checkLoaded();
-    checkLeaderDataLoaded();
+    logWhenJobsLoaded();
+    allowLeadershipWhenLoaded();
     checkProcessPause(clock.read());
   }
 
@@ -374,29 +374,29 @@
     schedule.setPause(isLeader ? WORKER_PAUSE_MILLISECONDS : PROGRESS_PAUSE_MILLISECONDS);
   }
 
-  private void checkLoaded() {
-    boolean allLoaded =
+  private void logWhenJobsLoaded() {
+    boolean jobsLoaded =
         declarations.isLoaded() && intake.isLoaded() && state.declaration().isPresent();
-    if (allLoaded) {
+    if (jobsLoaded) {
       logger.atInfo().log(
           "event=ready version=%d jobs=%d",
           state.declaration().get().version(), state.jobs().jobs().size());
       return;
     }
-    loop.delay(CHECK_INTERVAL_MILLISECONDS, this::checkLoaded);
+    loop.delay(CHECK_INTERVAL_MILLISECONDS, this::logWhenJobsLoaded);
   }
 
-  private void checkLeaderDataLoaded() {
-    boolean allLoaded =
+  private void allowLeadershipWhenLoaded() {
+    boolean leaderDataLoaded =
         declarations.isLoaded()
             && workers.isLoaded()
             && intake.isLoaded()
             && state.declaration().isPresent();
-    if (allLoaded) {
+    if (leaderDataLoaded) {
       leadership.setReady();
       return;
     }
-    loop.delay(CHECK_INTERVAL_MILLISECONDS, this::checkLeaderDataLoaded);
+    loop.delay(CHECK_INTERVAL_MILLISECONDS, this::allowLeadershipWhenLoaded);
   }
 
   /** Logs pauses of the whole process, which explain late responses. */
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CapacityShortage.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CapacityShortage.java
@@ -11,8 +11,8 @@
  *
  * <p>Large tasks leave parts of each worker unused: of workers with 64 cores, tasks of 22 cores
  * fill two thirds. So the sum of all reservations does not tell how many machines a pool needs, and
- * tasks would wait although the pool seems to have enough. What placement could not place does
- * tell.
+ * tasks would wait although the pool seems to have enough. So the tasks that were not placed are
+ * counted.
  */
 final class CapacityShortage {
   /** Time for which tasks must have found no room; most find some when others end. */
@@ -34,10 +34,10 @@
   }
 
   /**
-   * Adds tasks of a step that no worker of the pool had room for.
+   * Adds tasks of a step that were not placed, for whatever reason.
    *
    * @param workers number of workers in the pool that tasks could be placed on
-   * @param capacity capacity of one of them
+   * @param capacity capacity of the first of them, which stands for all
    */
   void add(PoolId pool, QueuedStep step, int tasks, int workers, ResourceVector capacity) {
     long tasksPerMachine = tasksPerMachine(step, capacity);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
@@ -53,8 +53,7 @@
     if (task.runState != Task.RunState.RECORDING) {
       return false;
     }
-    // The data centre's evacuation began after a start that could not be written. The next pass
-    // withdraws the start.
+    // The worker's data centre is to be evacuated; the next pass withdraws the start.
     if (task.worker.filter(worker -> worker.evacuated).isPresent()) {
       return false;
     }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CopyStarter.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CopyStarter.java
@@ -28,7 +28,10 @@
   /** Time between two checks; workers report progress every 100 ms. */
   private static final long INTERVAL_MILLISECONDS = 50;
 
-  /** Candidates of a pool without a worker or room in the cap after which no others are tried. */
+  /**
+   * Number of candidates of a pool that got no copy, for want of a worker or because of their
+   * team's cap, after which the others wait for the next check.
+   */
   private static final int MAXIMUM_FAILED_TRIES = 8;
 
   private final WorkerRegistry workers;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/MachineCommandFence.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/MachineCommandFence.java
@@ -31,7 +31,7 @@
   private final Set<MachineId> inherited = new HashSet<>();
 
   /** Times of this leader's own commands. */
-  private final Map<MachineId, Long> commandedAt = new LinkedHashMap<>();
+  private final Map<MachineId, Long> decidedOrSentAt = new LinkedHashMap<>();
 
   /** True if the record lacks a machine, or if there is no record of this term yet. */
   private boolean incomplete = true;
@@ -59,7 +59,7 @@
     inherited.addAll(commandedMachines);
   }
 
-  /** Returns whether any machine may be commanded. */
+  /** Returns whether at least one machine may be commanded. */
   boolean allowsSome(long now) {
     return !predecessorUnknown || now >= inheritedUntil;
   }
@@ -76,7 +76,7 @@
 
   /** Notes a machine that will be commanded once this is recorded. */
   void onCommand(MachineId machine, long now) {
-    commandedAt.put(machine, now);
+    decidedOrSentAt.put(machine, now);
     incomplete = true;
   }
 
@@ -85,8 +85,8 @@
    * before it is sent. A record that waited for the store may be followed by one without the
    * machine; a command sent then would be unknown to a successor.
    */
-  boolean beginCommand(MachineId machine, long now) {
-    return commandedAt.computeIfPresent(machine, (commanded, time) -> now) != null;
+  boolean trySend(MachineId machine, long now) {
+    return decidedOrSentAt.computeIfPresent(machine, (commanded, time) -> now) != null;
   }
 
   /** Has the machines recorded if the newest record is incomplete, or has been outdated a while. */
@@ -98,7 +98,7 @@
       return;
     }
     List<MachineId> machines = new ArrayList<>(inherited);
-    machines.addAll(commandedAt.keySet());
+    machines.addAll(decidedOrSentAt.keySet());
     outbox.recordMachineCommands(machines);
     incomplete = false;
     outdated = false;
@@ -111,6 +111,6 @@
       outdated |= !inherited.isEmpty();
       inherited.clear();
     }
-    outdated |= commandedAt.values().removeIf(time -> now - time >= retentionMilliseconds);
+    outdated |= decidedOrSentAt.values().removeIf(time -> now - time >= retentionMilliseconds);
   }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PoolPlanner.java
@@ -345,7 +345,7 @@
   }
 
   /**
-   * Moves an idle machine to the standby pool that gets no tasks where it is: the one whose last
+   * Moves an idle machine out of an evacuated data centre to the standby pool: the one whose last
    * order is longest ago.
    */
   private void returnEvacuated(Map<PoolId, PoolPlan> plans, PoolPlan standby, long now) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -117,7 +117,10 @@
   /** Pace after a pace command that was not confirmed. */
   static final int UNKNOWN_PACE = -1;
 
-  /** Second run, on another worker; once the task is done, the run that may not have ended. */
+  /**
+   * The run besides the one of this object: the copy while the task is open, and the run that did
+   * not succeed once it is done, until that run has certainly ended.
+   */
   Optional<CopyRun> copy = Optional.empty();
 
   /** Highest attempt number that a copy of this task was given, or 0. */
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -364,7 +364,10 @@
     release(task, reason.name().toLowerCase(Locale.ROOT));
   }
 
-  /** Adds the duration of a successful run to the model, unless it says nothing of other runs. */
+  /**
+   * Adds the duration of a successful run to the model, unless its end is not known well or its
+   * worker was slow or cold.
+   */
   private static void observeDuration(Task task, long now) {
     boolean isEndKnown = now - task.statusReceivedAt <= MAXIMUM_STATUS_GAP_MILLISECONDS;
     boolean isSlow =
@@ -414,7 +417,7 @@
     if (run instanceof CopyRun copy) {
       removeFromWorker(copy);
       copy.drop();
-      keepRunAsCopy(task);
+      keepLosingRun(task);
     }
     markDone(task);
     stopLosingRun(task, now);
@@ -431,7 +434,7 @@
   }
 
   /** Keeps the run of a task that is about to be done until it has certainly ended. */
-  private void keepRunAsCopy(Task task) {
+  private void keepLosingRun(Task task) {
     CopyRun remaining = new CopyRun(task);
     moveRun(task, remaining);
     task.copy = Optional.of(remaining);
@@ -485,7 +488,7 @@
             && mayHaveCopies(task);
     if (isLateSuccess) {
       logCopyEnded(task, attempt, "earlier_run", "done");
-      keepRunAsCopy(task);
+      keepLosingRun(task);
       completeTask(task, now, wallClockMilliseconds);
       return;
     }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskPlacer.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskPlacer.java
@@ -108,7 +108,7 @@
               : workerSelector.select(task, room.workers(), now);
       if (worker.isEmpty()) {
         room.onNotPlaced(reservation);
-        addShortage(tasks, task, room.workers(), now);
+        addNotPlaced(tasks, task, room.workers(), now);
         break;
       }
       lifecycle.assign(task, worker.get(), task.nextAttempt(), now);
@@ -118,7 +118,7 @@
   }
 
   /** Adds the waiting tasks of a step, from the first one that no worker had room for. */
-  private void addShortage(Task[] tasks, Task first, List<Worker> poolWorkers, long now) {
+  private void addNotPlaced(Task[] tasks, Task first, List<Worker> poolWorkers, long now) {
     int count = 0;
     for (int index = first.id.index(); index < tasks.length; index++) {
       if (tasks[index].isWaiting() && tasks[index].earliestStartAt <= now) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/job/CompactProgress.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/job/CompactProgress.java
@@ -11,12 +11,9 @@
 import org.flamingochute.schema.scheduling.WorkerIncarnation;
 
 /**
- * Converts the progress of a job to and from a compact form.
- *
- * <p>Every node reads every progress record, most of them over slow links, and while the links are
- * saturated callers learn late that their jobs have ended. The tasks of a step are mostly alike:
- * they are done, or run on the few workers that had room for several of them. So tasks that differ
- * only in their index form one group, and each worker is named once.
+ * Converts the progress of a job to and from a compact form: tasks of a step that differ only in
+ * their index form one group, and each worker is named once. Tasks with a checkpoint, a copy or a
+ * repeated start keep an entry of their own.
  */
 public final class CompactProgress {
   private CompactProgress() {}
--- a/scheduling/src/main/java/org/flamingochute/scheduling/speculation/CopyPolicy.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/speculation/CopyPolicy.java
@@ -1,6 +1,6 @@
 package org.flamingochute.scheduling.speculation;
 
-/** Decides which runs deserve a copy, and how many copies a pool may have. */
+/** Decides which runs get a copy, and how many copies a pool may have. */
 public final class CopyPolicy {
   /**
    * Expected remaining time of a run, as a multiple of that of a fresh run, from which it
@@ -11,7 +11,7 @@
   /** Shortest time since its start after which a run's percentage is compared. */
   private static final long MINIMUM_ELAPSED_MILLISECONDS = 250;
 
-  /** Fraction of the expected duration after which a run's percentage is compared. */
+  /** Divisor of the expected duration that gives the time from which a percentage is compared. */
   private static final long EXPECTED_DURATION_DIVISOR = 4;
 
   /** Time without a status after which the run on a silent worker qualifies: four status reads. */
@@ -22,7 +22,7 @@
 
   private CopyPolicy() {}
 
-  /** Returns whether a copy is expected to end well before the run. */
+  /** Returns whether a run is slow enough, or its worker silent for long enough, for a copy. */
   public static boolean qualifies(RunObservation run) {
     if (run.silentMilliseconds() >= SILENCE_MILLISECONDS) {
       return true;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/speculation/package-info.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/speculation/package-info.java
@@ -1,2 +1,2 @@
-/** Which slow runs deserve a copy. */
+/** Which slow runs get a copy. */
 package org.flamingochute.scheduling.speculation;
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/MachineCommandFenceTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/MachineCommandFenceTest.java
@@ -67,7 +67,7 @@
     fence.onCommand(COMMANDED, 6_000);
     recordedAt(6_000);
     recordedAt(6_000 + RETENTION);
-    assertThat(fence.beginCommand(COMMANDED, 6_000 + RETENTION), is(false));
+    assertThat(fence.trySend(COMMANDED, 6_000 + RETENTION), is(false));
   }
 
   @Test
@@ -76,7 +76,7 @@
     fence.onCommand(COMMANDED, 6_000);
     recordedAt(6_000);
     final long sentAt = 6_000 + RETENTION - 1;
-    assertThat(fence.beginCommand(COMMANDED, sentAt), is(true));
+    assertThat(fence.trySend(COMMANDED, sentAt), is(true));
     assertThat(recordedAt(sentAt + RETENTION - 1), is(Optional.empty()));
     assertThat(recordedAt(sentAt + RETENTION).orElseThrow(), is(empty()));
   }
