--- a/review/standin-2/Cases.java
+++ b/review/standin-2/Cases.java
@@ -53,6 +53,10 @@
           world = new World(root, temporary, record, ForeignEntry.RUNNERS, 8_000);
           result = new ForeignEntry().run(world, trouble) ? HELD : BROKEN;
         }
+        case "held-start" -> {
+          world = new World(root, temporary, record, HeldStart.RUNNERS, 8_000);
+          result = new HeldStart().run(world, trouble) ? HELD : BROKEN;
+        }
         default -> System.err.println("no such case: " + arguments[0]);
       }
     } catch (Exception e) {
--- a/review/standin-2/Http.java
+++ b/review/standin-2/Http.java
@@ -19,8 +19,13 @@
 
   /** Starts a server on a free port of the loopback address. */
   static HttpServer serve(HttpHandler handler) throws IOException {
+    return serve(handler, 0);
+  }
+
+  /** Starts a server on a port of the loopback address; 0 takes a free one. */
+  static HttpServer serve(HttpHandler handler, int port) throws IOException {
     HttpServer server =
-        HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 256);
+        HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 256);
     server.setExecutor(Executors.newThreadPerTaskExecutor(Thread.ofVirtual().factory()));
     server.createContext(
         "/",
--- a/review/standin-2/LateUpkeep.java
+++ b/review/standin-2/LateUpkeep.java
@@ -39,7 +39,11 @@
     // Jobs whose data is in the rack of the machine that was ordered down.
     for (int job = 0; job < JOBS; job++) {
       Http.sleep(JOB_INTERVAL_MILLISECONDS);
-      world.call(other, "POST", world.newId(), JOB.formatted(first), 3_000);
+      World.Answer answer =
+          world.call(other, "POST", world.newId(), JOB.formatted(first), 3_000);
+      if (answer.status() == 0) {
+        throw new IllegalStateException("the node has not answered: " + answer.body());
+      }
     }
     long end = record.now() + WATCHED_MILLISECONDS;
     while (record.now() < end) {
--- a/review/standin-2/Nodes.java
+++ b/review/standin-2/Nodes.java
@@ -2,19 +2,27 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** Starts nodes with the command and the template of settings of the deploy file. */
 final class Nodes {
+  private static final int FIRST_PORT = 20_000;
+  private static final int PORT_COUNT = 10_000;
+  private static final SecureRandom PORTS = new SecureRandom();
   private static final Pattern RUN_LINE = Pattern.compile("(?m)^run = \"(.*)\"$");
   private static final Pattern LIST =
       Pattern.compile("\\{\\{#zones\\}\\}\\{\\{@\\}\\}\\{\\{,\\}\\}\\{\\{/zones\\}\\}");
@@ -58,6 +66,7 @@
   private final Path folder;
   private final String platform;
   private final Events record;
+  private final Set<Integer> given = new HashSet<>();
   final List<Node> all = new ArrayList<>();
 
   Nodes(Path root, Path folder, String platform, Events record) {
@@ -69,9 +78,22 @@
     Runtime.getRuntime().addShutdownHook(new Thread(this::stopAll));
   }
 
-  private static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return "127.0.0.1:" + socket.getLocalPort();
+  /**
+   * Returns a loopback address that nothing listens on. Its port is below those that systems give
+   * to outgoing connections, and picked at random, so that scripts that start together differ.
+   */
+  private String freeAddress() throws IOException {
+    while (true) {
+      int port = FIRST_PORT + PORTS.nextInt(PORT_COUNT);
+      if (!given.add(port)) {
+        continue;
+      }
+      try (ServerSocket socket =
+          new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return "127.0.0.1:" + socket.getLocalPort();
+      } catch (BindException e) {
+        record.add("port %d is in use", port);
+      }
     }
   }
 
--- a/review/standin-2/Runner.java
+++ b/review/standin-2/Runner.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * One runner, as the pages describe it. The text of a job says how its tasks behave:
@@ -49,6 +50,8 @@
   private long leaseEnd;
   private long nextNumber = 1;
   private long sequence;
+  private volatile String heldJob = "";
+  private volatile CompletableFuture<HeldStart> heldStart;
   private boolean grey;
   private boolean terminated;
 
@@ -73,6 +76,47 @@
     server = Http.serve(this::handle);
   }
 
+  /** Creates the next life of a runner that has crashed, under its id and address. */
+  Runner(Runner former) throws IOException {
+    id = former.id;
+    machine = former.machine;
+    service = former.service;
+    zone = former.zone;
+    capacity = former.capacity;
+    store = former.store;
+    gangs = former.gangs;
+    record = former.record;
+    server = Http.serve(this::handle, former.server.getAddress().getPort());
+  }
+
+  /** A start that was sent to a runner and is still on its way. */
+  record HeldStart(Runner runner, Map<String, Object> body) {}
+
+  /** Holds the first start of a job back; the runner gets it later, if at all. */
+  void holdStart(String job, CompletableFuture<HeldStart> held) {
+    heldJob = job;
+    heldStart = held;
+  }
+
+  private boolean isHeldBack(String path, Map<String, Object> body) {
+    return path.equals("/run-start")
+        && Json.text(body, "task").startsWith(heldJob + ".")
+        && heldStart.complete(new HeldStart(this, body));
+  }
+
+  /** Carries out a start that was held back; returns the reason of a refusal, or an empty text. */
+  String executeLate(HeldStart held) {
+    return start(held.body());
+  }
+
+  /** Ends everything that runs here; the runner answers no more, and its entry stays. */
+  synchronized void crash() {
+    terminated = true;
+    running.clear();
+    server.stop(0);
+    record.add("runner %s crashed", id);
+  }
+
   private long clock() {
     return (System.nanoTime() - clockStart) / 1_000_000;
   }
@@ -200,6 +244,11 @@
       return;
     }
     String path = exchange.getRequestURI().getPath();
+    if (isHeldBack(path, body)) {
+      record.add("start on its way to %s is held back: %s", id, Json.text(body, "task"));
+      Http.staySilent(exchange);
+      return;
+    }
     switch (path) {
       case "/hold" -> Http.answer(exchange, holdStatus(body), answerOfLastHold.get());
       case "/run-start", "/run-stop", "/pace" -> {
--- a/review/standin-2/World.java
+++ b/review/standin-2/World.java
@@ -88,7 +88,7 @@
     long begin = record.now();
     for (Nodes.Node node : nodes.all) {
       while (get("http://" + node.ready + "/ready") != 200) {
-        if (record.now() - begin > READY_TIMEOUT_MILLISECONDS) {
+        if (!node.isAlive() || record.now() - begin > READY_TIMEOUT_MILLISECONDS) {
           throw new IOException("node " + node.name + " isn't ready");
         }
         Http.sleep(50);
@@ -147,6 +147,16 @@
     }
   }
 
+  /** Starts a runner that has crashed again, under its id and address. */
+  Runner startAgain(Runner crashed) throws IOException {
+    Runner runner = new Runner(crashed);
+    runners.remove(crashed);
+    runners.add(runner);
+    runner.writeEntry();
+    record.add("runner %s started again", runner.id);
+    return runner;
+  }
+
   String newId() {
     return "%016x".formatted(ids.nextLong());
   }
