Store the cancellation of a job that is not known before it is answered 410

Cause: 410 rested on a read of INTAKE to its end. A read shows what is stored, not what an append without a response may still store, and no node knows the appends of the others.

Ruled out: the scheduler and StoredJob respect a cancellation before its definition (CancelledJobIntakeTest passed before). GET's 410 promises nothing about the future and stays a read.

Change: DELETE of an unknown job appends cancellation/ID first and answers 410 only once it is stored; 503 or 504 otherwise. The leader deletes such a record once it was read status_s ago, on the condition that the topic ends where it has read it, so that no definition stands in between. FleetState applies the tombstone, also one that a reload has missed. Above 20,000 of them a DELETE of an unknown job is refused with 503. The timeout of the append now counts from after the read that precedes it.

--- a/node/src/main/java/org/flamingochute/node/FleetState.java
+++ b/node/src/main/java/org/flamingochute/node/FleetState.java
@@ -27,6 +27,7 @@
 import org.flamingochute.scheduling.fleet.WaveRequest;
 import org.flamingochute.scheduling.job.JobTable;
 import org.flamingochute.scheduling.job.StoredJob;
+import org.flamingochute.scheduling.job.UndefinedCancellations;
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.schema.scheduling.QueuedJob;
 
@@ -79,6 +80,7 @@
   private final Map<String, Long> refusedEvacuations = new HashMap<>();
 
   private final JobTable jobs = new JobTable();
+  private final UndefinedCancellations undefinedCancellations = new UndefinedCancellations();
   private final Map<InstanceId, WorkerReport> workers = new HashMap<>();
 
   /** Offsets of the newest reports of workers that were cold when they wrote them. */
@@ -136,6 +138,11 @@
     return jobs;
   }
 
+  /** Returns the cancellations of jobs that are not stored. */
+  public UndefinedCancellations undefinedCancellations() {
+    return undefinedCancellations;
+  }
+
   /** Returns the newest report of each listed worker. */
   public Iterable<WorkerReport> workers() {
     return workers.values();
@@ -344,14 +351,17 @@
 
   /**
    * Returns the listener for the intake topic. A snapshot that lacks a job which was stored before
-   * the load shows that the job was deleted; jobs stored during the load may be lacking too.
+   * the load shows that the job was deleted; jobs stored during the load may be lacking too. The
+   * same holds for cancellations of jobs that are not stored.
    */
   public TopicListener intakeListener() {
     return new TopicListener() {
       private final Set<JobId> storedBeforeLoad = new HashSet<>();
+      private Set<JobId> cancelledBeforeLoad = Set.of();
 
       @Override
       public void onLoadStarted() {
+        cancelledBeforeLoad = undefinedCancellations.jobs();
         storedBeforeLoad.clear();
         for (StoredJob job : jobs.jobs()) {
           if (job.definition().isPresent()) {
@@ -371,10 +381,16 @@
         }
         for (JobId job : storedBeforeLoad) {
           if (!presentKeys.contains(ScheduleKeys.job(job))) {
-            jobs.delete(job);
+            deleteJob(job);
+          }
+        }
+        for (JobId job : cancelledBeforeLoad) {
+          if (!presentKeys.contains(ScheduleKeys.cancellation(job))) {
+            deleteCancellation(job);
           }
         }
         storedBeforeLoad.clear();
+        cancelledBeforeLoad = Set.of();
       }
 
       @Override
@@ -389,7 +405,8 @@
       Optional<JobId> job = ScheduleKeys.jobOf(record.key());
       Optional<JobId> cancelled = ScheduleKeys.cancelledJobOf(record.key());
       if (record.isTombstone()) {
-        job.ifPresent(jobs::delete);
+        job.ifPresent(this::deleteJob);
+        cancelled.ifPresent(this::deleteCancellation);
       } else if (job.isPresent()) {
         applyJob(job.get(), QueuedJob.parseFrom(record.value()), newJobReceiver);
       } else if (cancelled.isPresent()) {
@@ -400,6 +417,17 @@
     }
   }
 
+  private void deleteJob(JobId id) {
+    jobs.delete(id);
+    undefinedCancellations.remove(id);
+  }
+
+  /** Forgets a cancellation; one of a stored job is deleted after the job. */
+  private void deleteCancellation(JobId id) {
+    jobs.deleteWithoutDefinition(id);
+    undefinedCancellations.remove(id);
+  }
+
   /** Applies a job that is durable in the store. */
   public void applyJob(JobId id, QueuedJob job) {
     applyJob(id, job, newJobListener);
@@ -408,6 +436,7 @@
   private void applyJob(JobId id, QueuedJob job, Consumer<QueuedJob> newJobReceiver) {
     final boolean isNew = jobs.find(id).flatMap(StoredJob::definition).isEmpty();
     StoredJob storedJob = jobs.define(id, job);
+    undefinedCancellations.remove(id);
     if (isNew) {
       newJobReceiver.accept(job);
     }
@@ -416,7 +445,10 @@
 
   /** Applies a cancellation that is durable in the store. */
   public void applyCancellation(JobId id) {
-    jobs.cancel(id);
+    StoredJob storedJob = jobs.cancel(id);
+    if (storedJob.definition().isEmpty()) {
+      undefinedCancellations.add(id, clock.steadyMilliseconds());
+    }
     listener.ifPresent(receiver -> receiver.onJobCancelled(id));
   }
 
--- a/node/src/main/java/org/flamingochute/node/front/JobServlet.java
+++ b/node/src/main/java/org/flamingochute/node/front/JobServlet.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
 import java.util.regex.Pattern;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.TeamId;
@@ -46,6 +47,12 @@
 
   private static final long RETRY_AFTER_SECONDS = 1;
 
+  /** Time after which a caller may cancel a job again that is not known, in seconds. */
+  private static final long CANCELLATION_RETRY_AFTER_SECONDS = 10;
+
+  /** Limits the memory and the records of callers that cancel jobs that do not exist. */
+  private static final int MAXIMUM_UNDEFINED_CANCELLATIONS = 20_000;
+
   private final NodeClock clock;
   private final FleetState state;
   private final CallAuthorizer authorizer;
@@ -130,7 +137,7 @@
     JobId id = new JobId(call.rest());
     return switch (request.getMethod()) {
       case GET -> readPhase(id);
-      case DELETE -> cancel(id, remainingMilliseconds(request, call, startedAt));
+      case DELETE -> cancel(id, () -> remainingMilliseconds(request, call, startedAt));
       case POST -> submit(request, id, startedAt);
       default ->
           Promise.of(
@@ -156,7 +163,15 @@
 
   private Promise<CallResponse> readPhase(JobId id) {
     return find(id)
-        .map(foundJob -> foundJob.fold(errorResponse -> errorResponse, JobServlet::phaseResponse));
+        .map(
+            result ->
+                result.fold(
+                    errorResponse -> errorResponse,
+                    job -> job.map(JobServlet::phaseResponse).orElse(noSuchJobResponse())));
+  }
+
+  private static CallResponse noSuchJobResponse() {
+    return CallResponse.error(CallResponse.GONE, "no such job");
   }
 
   private static CallResponse phaseResponse(StoredJob job) {
@@ -164,30 +179,26 @@
   }
 
   /**
-   * Finds a job, or returns the response to a call for a job that cannot be found. A job that
-   * another node has just accepted may not have been read here, so the store is read before the
-   * response is that it does not exist.
+   * Finds a job; empty if it is not stored, or the response to the call if that is not known. A job
+   * that another node has just accepted may not have been read here, so the store is read before a
+   * job counts as not stored. An append of it may still be under way nevertheless.
    */
-  private Promise<Either<CallResponse, StoredJob>> find(JobId id) {
+  private Promise<Either<CallResponse, Optional<StoredJob>>> find(JobId id) {
     Optional<StoredJob> knownJob = definedJob(id);
     if (knownJob.isPresent()) {
-      return Promise.of(Either.right(knownJob.get()));
+      return Promise.of(Either.right(knownJob));
     }
     if (intake.isStoreUnavailable()) {
       return Promise.of(Either.left(storeUnavailableResponse()));
     }
-    SettablePromise<Either<CallResponse, StoredJob>> promise = new SettablePromise<>();
+    SettablePromise<Either<CallResponse, Optional<StoredJob>>> promise = new SettablePromise<>();
     freshness.refresh().thenAccept(complete -> promise.set(findAfterRefresh(id, complete)));
     return promise;
   }
 
-  private Either<CallResponse, StoredJob> findAfterRefresh(JobId id, boolean complete) {
+  private Either<CallResponse, Optional<StoredJob>> findAfterRefresh(JobId id, boolean complete) {
     Optional<StoredJob> foundJob = definedJob(id);
-    if (foundJob.isPresent()) {
-      return Either.right(foundJob.get());
-    }
-    return Either.left(
-        complete ? CallResponse.error(CallResponse.GONE, "no such job") : staleResponse());
+    return foundJob.isPresent() || complete ? Either.right(foundJob) : Either.left(staleResponse());
   }
 
   private Optional<StoredJob> definedJob(JobId id) {
@@ -208,31 +219,58 @@
         1, timeout - RESPONSE_MARGIN_MILLISECONDS - (clock.steadyMilliseconds() - startedAt));
   }
 
-  private Promise<CallResponse> cancel(JobId id, long timeoutMilliseconds) {
+  /**
+   * Cancels a job.
+   *
+   * @param remainingMilliseconds returns the time that is left until the response is due
+   */
+  private Promise<CallResponse> cancel(JobId id, LongSupplier remainingMilliseconds) {
     return find(id)
         .then(
-            foundJob ->
-                foundJob.isLeft()
-                    ? Promise.of(foundJob.getLeft())
-                    : cancelFound(id, foundJob.get().phase(), timeoutMilliseconds));
+            result ->
+                result.isLeft()
+                    ? Promise.of(result.getLeft())
+                    : cancel(id, result.get(), remainingMilliseconds.getAsLong()));
   }
 
-  private Promise<CallResponse> cancelFound(JobId id, JobPhase phase, long timeoutMilliseconds) {
-    if (phase != JobPhase.QUEUED && phase != JobPhase.RUNNING) {
-      return Promise.of(CallResponse.ok("already " + phase));
+  private Promise<CallResponse> cancel(
+      JobId id, Optional<StoredJob> foundJob, long timeoutMilliseconds) {
+    Optional<JobPhase> phase = foundJob.map(StoredJob::phase);
+    if (phase.isPresent() && phase.get() != JobPhase.QUEUED && phase.get() != JobPhase.RUNNING) {
+      return Promise.of(CallResponse.ok("already " + phase.get()));
     }
     if (intake.isStoreUnavailable()) {
       return Promise.of(storeUnavailableResponse());
     }
+    boolean isLimitReached =
+        state.undefinedCancellations().count() >= MAXIMUM_UNDEFINED_CANCELLATIONS;
+    if (phase.isEmpty() && isLimitReached) {
+      return Promise.of(
+          CallResponse.error(
+              CallResponse.UNAVAILABLE,
+              CANCELLATION_RETRY_AFTER_SECONDS,
+              "job " + id + " is not known, and too many unknown jobs have been cancelled"));
+    }
+    return appendCancellation(id, timeoutMilliseconds);
+  }
+
+  /**
+   * Stores a cancellation, also of a job that is not known: an append of its definition may be
+   * under way, at this node or another one, and is executed after the response to the caller. The
+   * job is cancelled then, since its cancellation is in the store.
+   */
+  private Promise<CallResponse> appendCancellation(JobId id, long timeoutMilliseconds) {
     byte[] value = Long.toString(clock.wallClockMilliseconds()).getBytes(StandardCharsets.US_ASCII);
     return append(new KeyedValue(ScheduleKeys.cancellation(id), value), timeoutMilliseconds)
-        .map(
-            result -> {
-              if (result == IntakeResult.STORED) {
-                state.applyCancellation(id);
-              }
-              return responseOf(result, "cancelled");
-            });
+        .map(result -> onCancellationAppended(id, result));
+  }
+
+  private CallResponse onCancellationAppended(JobId id, IntakeResult result) {
+    if (result != IntakeResult.STORED) {
+      return responseOf(result, "");
+    }
+    state.applyCancellation(id);
+    return definedJob(id).isPresent() ? CallResponse.ok("cancelled") : noSuchJobResponse();
   }
 
   private Promise<IntakeResult> append(KeyedValue record, long timeoutMilliseconds) {
--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
@@ -58,6 +58,7 @@
   private final FleetState state;
   private final LeaderMonitor monitor;
   private final LeaderCandidate candidate;
+  private final CancellationExpiry cancellationExpiry;
   private final Map<Long, WaveProgress> waveProgress = new HashMap<>();
   private Optional<PoolHistory> poolHistory = Optional.empty();
   private Optional<MachineCommands> machineCommands = Optional.empty();
@@ -86,6 +87,12 @@
     this.state = state;
     this.candidate = new LeaderCandidate(dependencies.instance(), incarnation);
     this.monitor = new LeaderMonitor(dependencies.claimDelayMilliseconds(), candidate);
+    this.cancellationExpiry =
+        new CancellationExpiry(
+            dependencies.clock(),
+            dependencies.store(),
+            state.undefinedCancellations(),
+            dependencies.settings().statusRetentionMilliseconds());
   }
 
   /** Sets the receiver of the load of the pools that the leader writes. */
@@ -180,6 +187,9 @@
 
   private void checkLeadership() {
     dependencies.loop().delay(CHECK_INTERVAL_MILLISECONDS, this::checkLeadership);
+    if (isLeader()) {
+      cancellationExpiry.deleteExpired(intakeFollower.orElseThrow());
+    }
     boolean isEligible = ready && !resigned && claim.isEmpty() && driver.isEmpty();
     if (isEligible
         && scheduleFollower.orElseThrow().isLoaded()
--- a/node/src/test/java/org/flamingochute/node/DeletedJobReloadTest.java
+++ b/node/src/test/java/org/flamingochute/node/DeletedJobReloadTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -175,4 +176,19 @@
     intake.onSnapshot(List.of());
     assertThat(knownJobs(), containsInAnyOrder(OPEN));
   }
+
+  /**
+   * Guards against UNASKED and against memory without a bound: the deletion of a cancellation may
+   * be missed, and a cancellation that is stored during the load is missing in its pages.
+   */
+  @Test
+  void onlyCancellationsDeletedBeforeTheLoadAreForgotten() throws Exception {
+    TopicListener intake = state.intakeListener();
+    state.applyCancellation(ENDED);
+    intake.onLoadStarted();
+    state.applyCancellation(OPEN);
+    intake.onSnapshot(List.of());
+    assertThat(knownJobs(), containsInAnyOrder(OPEN));
+    assertThat(state.undefinedCancellations().jobs(), is(Set.of(OPEN)));
+  }
 }
