Count the failed runs of a gang instead of the failures of its members

Cause: the limit was compared with the sum of the failures of all members. One run in which all four fail counted four times.

Change: the set of attempts in which a member failed is kept for each gang and recorded once with the job's progress (JobProgress.gang_failures). A listed failure of an attempt in the set changes nothing, and one of an earlier attempt that is not in it counts, also at a later leader. From records without the field the failed runs are taken to be the last ones, as many as the member with the most failures has. Gangs that last keep none. A task that is done no longer ends its job as failed through a failure that is listed late.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Job.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Job.java
@@ -8,9 +8,11 @@
 import org.flamingochute.decision.identity.TeamId;
 import org.flamingochute.scheduling.duration.DurationModel;
 import org.flamingochute.scheduling.duration.EstimatedDurations;
+import org.flamingochute.schema.scheduling.GangFailures;
 import org.flamingochute.schema.scheduling.JobProgress;
 import org.flamingochute.schema.scheduling.QueuePolicy;
 import org.flamingochute.schema.scheduling.QueuedJob;
+import org.flamingochute.schema.scheduling.QueuedStep;
 import org.flamingochute.schema.scheduling.TaskProgress;
 
 /** The scheduler's state of a job until it is closed. */
@@ -164,8 +166,44 @@
             builder.addTasks(task.toProgress());
           }
         }
+        addGangFailures(occurrence, step, builder);
       }
     }
     return builder.build();
   }
+
+  private static void addGangFailures(
+      Occurrence occurrence, int step, JobProgress.Builder progress) {
+    FailedGangRuns failedRuns = occurrence.failedGangRuns(step);
+    if (failedRuns.count() > 0) {
+      progress.addGangFailures(
+          GangFailures.newBuilder()
+              .setOccurrence(occurrence.number)
+              .setStep(step)
+              .addAllAttempts(failedRuns.attempts()));
+    }
+  }
+
+  /** Restores the failed runs of all gangs, after the tasks have been restored. */
+  void restoreGangFailures(JobProgress progress) {
+    for (GangFailures recorded : progress.getGangFailuresList()) {
+      boolean isKnown =
+          recorded.getOccurrence() < occurrences.size()
+              && recorded.getStep() < definition.getStepsCount();
+      if (isKnown) {
+        FailedGangRuns failedRuns =
+            occurrences.get(recorded.getOccurrence()).failedGangRuns(recorded.getStep());
+        recorded.getAttemptsList().forEach(failedRuns::add);
+      }
+    }
+    for (Occurrence occurrence : occurrences) {
+      for (int step = 0; step < occurrence.stepCount(); step++) {
+        QueuedStep gang = definition.getSteps(step);
+        FailedGangRuns failedRuns = occurrence.failedGangRuns(step);
+        if (gang.getGang() && !gang.getLongRunning() && failedRuns.count() == 0) {
+          failedRuns.restoreFromMembers(occurrence.tasksOf(step));
+        }
+      }
+    }
+  }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Occurrence.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Occurrence.java
@@ -12,6 +12,7 @@
 
   private final Job job;
   private final Task[][] tasks;
+  private final FailedGangRuns[] failedGangRuns;
   private final int[] openTaskCounts;
   private final CriticalPath criticalPath;
   private int openStepCount;
@@ -22,10 +23,12 @@
     this.dueMilliseconds = dueMilliseconds;
     int stepCount = job.definition.getStepsCount();
     tasks = new Task[stepCount][];
+    failedGangRuns = new FailedGangRuns[stepCount];
     openTaskCounts = new int[stepCount];
     for (int step = 0; step < stepCount; step++) {
       QueuedStep definition = job.definition.getSteps(step);
       tasks[step] = new Task[definition.getCount()];
+      failedGangRuns[step] = new FailedGangRuns();
       openTaskCounts[step] = definition.getCount();
       for (int index = 0; index < definition.getCount(); index++) {
         TaskId id = new TaskId(job.id, number, step, index);
@@ -44,6 +47,11 @@
     return tasks[step];
   }
 
+  /** Returns the failed runs of a step that is a gang; no runs are noted for other steps. */
+  FailedGangRuns failedGangRuns(int step) {
+    return failedGangRuns[step];
+  }
+
   Task task(int step, int index) {
     return tasks[step][index];
   }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -195,6 +195,7 @@
     for (TaskProgress task : progress.getTasksList()) {
       restoreTask(job, task, now);
     }
+    job.restoreGangFailures(progress);
     if (job.isOpen() && storedJob.isCancelled()) {
       lifecycle.cancelJob(job, now, wallClockMilliseconds);
     } else if (!job.isOpen() && job.hasAssignedTask()) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -465,7 +465,7 @@
           task.failedOn.add(worker.key.id());
           workerHealth.observe(task.id.job(), worker.key.id(), false, now);
         });
-    task.failures++;
+    countFailure(task, run.attempt);
     boolean longRunning = task.step.getLongRunning();
     task.earliestStartAt =
         now + (longRunning ? LONG_RUNNING_RETRY_DELAY_MILLISECONDS : RETRY_DELAY_MILLISECONDS);
@@ -492,18 +492,45 @@
       completeTask(task, now, wallClockMilliseconds);
       return;
     }
-    if (reason != EndReason.FAILED || !task.learnEnd(attempt)) {
+    if (reason != EndReason.FAILED || !isNewFailure(task, attempt)) {
       return;
     }
-    task.failures++;
+    countFailure(task, attempt);
     outbox.markChanged(task.job);
     failJobAtLimit(task, now, wallClockMilliseconds);
   }
 
+  /**
+   * Returns whether a failure that was listed late is not counted yet. Which runs of a gang have
+   * failed is recorded; for other tasks only this leader knows which ends were missing.
+   */
+  private static boolean isNewFailure(Task task, int attempt) {
+    boolean wasUnknown = task.learnEnd(attempt);
+    boolean isFirstOfGangRun =
+        isCountedByRun(task) && !task.occurrence.failedGangRuns(task.id.step()).contains(attempt);
+    return wasUnknown || isFirstOfGangRun;
+  }
+
+  /** Notes a failed run of a task; of a gang's run, other members may have failed before. */
+  private static void countFailure(Task task, int attempt) {
+    task.failures++;
+    if (isCountedByRun(task)) {
+      task.occurrence.failedGangRuns(task.id.step()).add(attempt);
+    }
+  }
+
+  /** Returns whether the failed runs of the whole gang count; none do of tasks that last. */
+  private static boolean isCountedByRun(Task task) {
+    return task.step.getGang() && !task.step.getLongRunning();
+  }
+
   private void failJobAtLimit(Task task, long now, long wallClockMilliseconds) {
     int limit = Math.max(1, task.job.policy.getMaximumAttempts());
-    int failures = task.step.getGang() ? countGangFailures(task) : task.failures;
-    boolean isLimited = !task.step.getLongRunning() && task.job.isOpen();
+    int failures =
+        isCountedByRun(task)
+            ? task.occurrence.failedGangRuns(task.id.step()).count()
+            : task.failures;
+    boolean isLimited = !task.step.getLongRunning() && task.job.isOpen() && !task.isDone();
     if (isLimited && failures >= limit) {
       endJob(
           task.job,
@@ -514,14 +541,6 @@
     }
   }
 
-  private static int countGangFailures(Task task) {
-    int sum = 0;
-    for (Task member : task.occurrence.tasksOf(task.id.step())) {
-      sum += member.failures;
-    }
-    return sum;
-  }
-
   /** Cancels a job: no more of its tasks start, and its assigned tasks are stopped. */
   void cancelJob(Job job, long now, long wallClockMilliseconds) {
     if (!job.isOpen()) {
