Give suspended workers trial runs instead of suspending them for a fixed time

Cause: three jobs that failed in a row suspended a worker for 30 s, doubling to 32 minutes, and then left it with one task at a time until one ended as done, which a task that lasts never does. Nothing asked whether the fault was over.

Ruled out: capacity (a third in use); suspensions of most workers, which are disregarded already.

Change: WorkerSuspensions replaces WorkerHealth in the scheduler. A suspended worker is left out while another one has room. A run that succeeds, or lasts and becomes available, ends the suspension if it was started since the failures began.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CopyStarter.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CopyStarter.java
@@ -186,9 +186,7 @@
     List<Worker> targets = new ArrayList<>();
     for (Worker worker : workers.all()) {
       boolean isHealthy = worker.isSchedulable() && !ColdWorkers.countsAsSlow(worker, now);
-      if (isHealthy
-          && worker.report.pool().equals(pool)
-          && !workerSelector.isLimited(worker, now)) {
+      if (isHealthy && worker.report.pool().equals(pool) && !workerSelector.isSuspended(worker)) {
         targets.add(worker);
       }
     }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/PassedOverTaskLog.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/PassedOverTaskLog.java
@@ -140,7 +140,7 @@
         counts.notSchedulable++;
       } else if (!WorkerSelector.mayRun(task, worker)) {
         counts.notAllowed++;
-      } else if (workerSelector.isLimited(worker, now)) {
+      } else if (workerSelector.isSuspended(worker)) {
         counts.suspended++;
       }
     }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -9,7 +9,6 @@
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.MachineId;
 import org.flamingochute.decision.identity.QueueId;
-import org.flamingochute.decision.placement.WorkerHealth;
 import org.flamingochute.scheduling.duration.DurationModel;
 import org.flamingochute.scheduling.duration.EstimatedDurations;
 import org.flamingochute.scheduling.duration.LearnedDurations;
@@ -56,7 +55,7 @@
   private final MachineInventory machines = new MachineInventory();
   private final TeamUsage teamUsage = new TeamUsage();
   private final TeamRates teamRates = new TeamRates();
-  private final WorkerHealth workerHealth = new WorkerHealth();
+  private final WorkerSuspensions suspensions = new WorkerSuspensions();
   private final Outbox outbox = new Outbox();
   private final DurationModel durations;
   private final TaskLifecycle lifecycle;
@@ -112,12 +111,12 @@
                 : predecessorLastRecordAt + machineCommandDistance,
             machineCommandDistance,
             outbox);
-    lifecycle = new TaskLifecycle(jobs, teamUsage, workerHealth, outbox, settings);
+    lifecycle = new TaskLifecycle(jobs, teamUsage, suspensions, outbox, settings);
     workerTracker = new WorkerTracker(workers, lifecycle, settings, inheritedLeasesExpireAt);
     statusProcessor = new WorkerStatusProcessor(workers, workerTracker, jobs, lifecycle, outbox);
     commandTracker = new CommandTracker(workers, workerTracker, lifecycle);
     WorkerSelector workerSelector =
-        new WorkerSelector(workerHealth, new InterferencePenalty(interferenceModel));
+        new WorkerSelector(suspensions, new InterferencePenalty(interferenceModel));
     CapacityShortage shortage = new CapacityShortage();
     taskPlacer = new TaskPlacer(workers, jobs, teamUsage, lifecycle, workerSelector, shortage);
     copyStarter = new CopyStarter(workers, jobs, teamUsage, lifecycle, workerSelector, durations);
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import org.flamingochute.decision.placement.WorkerHealth;
 import org.flamingochute.scheduling.worker.EndReason;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.schema.scheduling.JobProgress;
@@ -47,19 +46,19 @@
 
   private final JobRegistry jobs;
   private final TeamUsage teamUsage;
-  private final WorkerHealth workerHealth;
+  private final WorkerSuspensions suspensions;
   private final Outbox outbox;
   private final SchedulerSettings settings;
 
   TaskLifecycle(
       JobRegistry jobs,
       TeamUsage teamUsage,
-      WorkerHealth workerHealth,
+      WorkerSuspensions suspensions,
       Outbox outbox,
       SchedulerSettings settings) {
     this.jobs = jobs;
     this.teamUsage = teamUsage;
-    this.workerHealth = workerHealth;
+    this.suspensions = suspensions;
     this.outbox = outbox;
     this.settings = settings;
   }
@@ -328,7 +327,7 @@
     task.worker.ifPresent(
         worker -> {
           task.failedOn.add(worker.key.id());
-          workerHealth.observe(task.id.job(), worker.key.id(), false, now);
+          suspensions.onFailed(task.id.job(), worker.key.id(), task.assignedAt, now);
           logger.atInfo().log(
               "event=run_stalled task=%s attempt=%d worker=%s percent=%d unchanged_ms=%d",
               task.id, task.attempt, worker.key, task.percent, now - task.percentChangedAt);
@@ -350,8 +349,7 @@
     setCheckpoint(task, checkpoint);
     boolean isSuperfluous = task.original().isDone();
     if (reason == EndReason.DONE && !task.step.getLongRunning() && !isSuperfluous) {
-      task.worker.ifPresent(
-          worker -> workerHealth.observe(task.id.job(), worker.key.id(), true, now));
+      task.worker.ifPresent(worker -> suspensions.onSucceeded(worker.key.id(), task.assignedAt));
       observeDuration(task, now);
       logWinner(task);
       completeTask(task, now, wallClockMilliseconds);
@@ -382,6 +380,11 @@
                 task.job.durations.observe(task.step, task.job.definition.getQueue(), elapsed));
   }
 
+  /** Notes that the run of a long-running task has become available. */
+  void onAvailable(Task task) {
+    task.worker.ifPresent(worker -> suspensions.onSucceeded(worker.key.id(), task.assignedAt));
+  }
+
   /** Applies the checkpoint that a running task's worker listed. */
   void onCheckpointListed(Task task, String checkpoint) {
     // Another member of the gang may have reported a newer one since this one was listed first.
@@ -463,7 +466,7 @@
     run.worker.ifPresent(
         worker -> {
           task.failedOn.add(worker.key.id());
-          workerHealth.observe(task.id.job(), worker.key.id(), false, now);
+          suspensions.onFailed(task.id.job(), worker.key.id(), run.assignedAt, now);
         });
     countFailure(task, run.attempt);
     boolean longRunning = task.step.getLongRunning();
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerSelector.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerSelector.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import org.flamingochute.decision.placement.ResourceVector;
-import org.flamingochute.decision.placement.WorkerHealth;
 
 /**
  * Selects a worker for one task.
@@ -18,37 +17,42 @@
  * selected, so that others stay empty and can be moved or maintained.
  */
 final class WorkerSelector {
-  private final WorkerHealth workerHealth;
+  private final WorkerSuspensions suspensions;
+  private final TrialRuns trialRuns;
   private final InterferencePenalty interferencePenalty;
 
-  WorkerSelector(WorkerHealth workerHealth, InterferencePenalty interferencePenalty) {
-    this.workerHealth = workerHealth;
+  WorkerSelector(WorkerSuspensions suspensions, InterferencePenalty interferencePenalty) {
+    this.suspensions = suspensions;
+    this.trialRuns = new TrialRuns(suspensions);
     this.interferencePenalty = interferencePenalty;
   }
 
   /**
    * Returns the best worker that can run the task now, or empty.
    *
-   * <p>Workers on which jobs failed are left out, unless they are most of the workers that could
-   * run the task. Failures on most workers are no sign of a fault of single workers, and without
-   * this the task would wait for the end of the suspensions although most capacity is free.
+   * <p>Suspended workers are left out, unless they are most of the workers that could run the task.
+   * Failures on most workers are no sign of a fault of single workers, and without this the task
+   * would wait for the end of the suspensions although most capacity is free. If no other worker
+   * can run the task, a suspended one is selected for a trial run if one is due.
    */
   Optional<Worker> select(Task task, List<Worker> workers, long now) {
-    Optional<Worker> healthy =
-        selectAmong(task, workers, worker -> worker.tasks.size() < jobLimit(worker, now), now);
-    if (healthy.isPresent() || !areMostLimited(task, workers, now)) {
-      return healthy;
+    Optional<Worker> trusted = selectAmong(task, workers, worker -> !isSuspended(worker), now);
+    if (trusted.isPresent()) {
+      return trusted;
     }
-    return selectAmong(task, workers, worker -> true, now);
+    if (areMostSuspended(task, workers)) {
+      return selectAmong(task, workers, worker -> true, now);
+    }
+    return selectAmong(task, workers, worker -> isTrialPossible(task, worker, now), now);
   }
 
-  /** Returns whether a worker is suspended or on trial. */
-  boolean isLimited(Worker worker, long now) {
-    return jobLimit(worker, now) < Integer.MAX_VALUE;
+  private boolean isTrialPossible(Task task, Worker worker, long now) {
+    return isSuspended(worker) && trialRuns.mayTry(task, worker, now);
   }
 
-  private int jobLimit(Worker worker, long now) {
-    return workerHealth.jobLimit(worker.key.id(), now);
+  /** Returns whether a worker is suspended, since jobs have failed on it. */
+  boolean isSuspended(Worker worker) {
+    return suspensions.isSuspended(worker.key.id());
   }
 
   private Optional<Worker> selectAmong(
@@ -70,23 +74,23 @@
   }
 
   /**
-   * Returns whether most workers that could run the task are suspended or on trial. Workers that
-   * have as many tasks of the step as it allows count too: the task can run there later.
+   * Returns whether most workers that could run the task are suspended. Workers that have as many
+   * tasks of the step as it allows count too: the task can run there later.
    */
-  private boolean areMostLimited(Task task, List<Worker> workers, long now) {
+  private boolean areMostSuspended(Task task, List<Worker> workers) {
     ResourceVector reservation = Worker.reservationOf(task.step);
     int suitable = 0;
-    int limited = 0;
+    int suspended = 0;
     for (Worker worker : workers) {
       if (!hasLabel(task, worker) || !reservation.fitsIn(worker.report.capacity())) {
         continue;
       }
       suitable++;
-      if (isLimited(worker, now)) {
-        limited++;
+      if (isSuspended(worker)) {
+        suspended++;
       }
     }
-    return 2 * limited > suitable;
+    return 2 * suspended > suitable;
   }
 
   private static boolean canRun(Task task, Worker worker, ResourceVector reservation) {
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
@@ -247,6 +247,9 @@
     if (runningTask.percent() != task.percent) {
       task.percent = runningTask.percent();
       task.percentChangedAt = now;
+      if (task.step.getLongRunning() && task.percent >= Task.FULL_PERCENT) {
+        lifecycle.onAvailable(task);
+      }
     }
     task.statusReceivedAt = now;
     task.reportedUsage = runningTask.usage();
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/HeldEndsTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/HeldEndsTest.java
@@ -9,7 +9,6 @@
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.placement.ResourceVector;
-import org.flamingochute.decision.placement.WorkerHealth;
 import org.flamingochute.scheduling.worker.EndReason;
 import org.flamingochute.scheduling.worker.FinishedTask;
 import org.flamingochute.scheduling.worker.RunningTask;
@@ -38,7 +37,7 @@
   private final Outbox outbox = new Outbox();
   private final JobRegistry jobs = new JobRegistry();
   private final TaskLifecycle lifecycle =
-      new TaskLifecycle(jobs, new TeamUsage(), new WorkerHealth(), outbox, settings);
+      new TaskLifecycle(jobs, new TeamUsage(), new WorkerSuspensions(), outbox, settings);
   private final WorkerTracker workerTracker = new WorkerTracker(workers, lifecycle, settings, 0);
   private final CommandTracker commandTracker =
       new CommandTracker(workers, workerTracker, lifecycle);
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/ProgressMonitorTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/ProgressMonitorTest.java
@@ -9,7 +9,6 @@
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.placement.ResourceVector;
-import org.flamingochute.decision.placement.WorkerHealth;
 import org.flamingochute.scheduling.duration.LearnedDurations;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
@@ -33,7 +32,7 @@
       new TaskLifecycle(
           new JobRegistry(),
           new TeamUsage(),
-          new WorkerHealth(),
+          new WorkerSuspensions(),
           new Outbox(),
           SchedulerSettings.builder().build());
   private final ProgressMonitor monitor = new ProgressMonitor(workers, lifecycle, durations);
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/TaskSeparationSelectionTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/TaskSeparationSelectionTest.java
@@ -11,7 +11,6 @@
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.placement.ResourceVector;
-import org.flamingochute.decision.placement.WorkerHealth;
 import org.flamingochute.scheduling.interference.InterferenceModel;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
@@ -35,7 +34,7 @@
   private final InterferenceModel model = new InterferenceModel();
   private final InterferenceObserver observer = new InterferenceObserver(workers, model);
   private final WorkerSelector selector =
-      new WorkerSelector(new WorkerHealth(), new InterferencePenalty(model));
+      new WorkerSelector(new WorkerSuspensions(), new InterferencePenalty(model));
   private final List<Task> servingTasks = new ArrayList<>();
   private int taskCount;
   private long now = 10_000;
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/WaveControllers.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/WaveControllers.java
@@ -1,7 +1,5 @@
 package org.flamingochute.scheduling.core;
 
-import org.flamingochute.decision.placement.WorkerHealth;
-
 /** Creates wave controllers for tests, without workers. */
 final class WaveControllers {
   private WaveControllers() {}
@@ -9,7 +7,8 @@
   static WaveController create(MachineInventory machines, Outbox outbox) {
     SchedulerSettings settings = SchedulerSettings.builder().build();
     TaskLifecycle lifecycle =
-        new TaskLifecycle(new JobRegistry(), new TeamUsage(), new WorkerHealth(), outbox, settings);
+        new TaskLifecycle(
+            new JobRegistry(), new TeamUsage(), new WorkerSuspensions(), outbox, settings);
     WorkerRegistry workers = new WorkerRegistry();
     return new WaveController(
         workers,
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/WorkerEvacuatorTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/WorkerEvacuatorTest.java
@@ -9,7 +9,6 @@
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.placement.ResourceVector;
-import org.flamingochute.decision.placement.WorkerHealth;
 import org.flamingochute.scheduling.worker.WorkerKey;
 import org.flamingochute.scheduling.worker.WorkerReport;
 import org.flamingochute.schema.scheduling.QueuePolicy;
@@ -27,7 +26,7 @@
       new TaskLifecycle(
           new JobRegistry(),
           new TeamUsage(),
-          new WorkerHealth(),
+          new WorkerSuspensions(),
           new Outbox(),
           SchedulerSettings.builder().build());
 
