Keep reports of undeclared pools aside instead of taking them for a worker's

Cause: an entry of another writer under a worker's id, of a pool that no declaration has, replaced the worker's report. Its later start time made it a new incarnation, and the 421 of its address ended the worker, whose tasks were started elsewhere while they ran.

Ruled out: entries that cannot be decoded are skipped already (FleetStateTest).

Change: WorkerReports, which takes the reports out of FleetState, keeps an entry aside whose pool no declaration has named so far; the last report under its key holds. A later declaration may name its pool. Reports read before the first declaration are checked when that is read. FleetStateTest now takes the log lines of the package, since the class that writes them has another name; its checks are the same.

--- a/node/src/main/java/org/flamingochute/node/FleetState.java
+++ b/node/src/main/java/org/flamingochute/node/FleetState.java
@@ -4,7 +4,6 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,7 +20,6 @@
 import org.flamingochute.platform.wire.StoreRecord;
 import org.flamingochute.platform.wire.WaveCodec;
 import org.flamingochute.platform.wire.WireException;
-import org.flamingochute.platform.wire.WorkerReportCodec;
 import org.flamingochute.scheduling.fleet.EvacuationRequests;
 import org.flamingochute.scheduling.fleet.FleetDeclaration;
 import org.flamingochute.scheduling.fleet.WaveRequest;
@@ -39,9 +37,6 @@
 public final class FleetState {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Maximum number of unlisted workers whose last reports are kept. */
-  private static final int MAXIMUM_UNLISTED_WORKERS = 256;
-
   /** Receives changes; implemented by the leadership of the scheduler. */
   public interface Listener {
     /** Called when a new declaration is in force. */
@@ -81,20 +76,7 @@
 
   private final JobTable jobs = new JobTable();
   private final UndefinedCancellations undefinedCancellations = new UndefinedCancellations();
-  private final Map<InstanceId, WorkerReport> workers = new HashMap<>();
-
-  /** Offsets of the newest reports of workers that were cold when they wrote them. */
-  private final Map<InstanceId, Long> coldReportOffsets = new HashMap<>();
-
-  /** Last reports of workers that are no longer listed, the oldest first. */
-  private final Map<InstanceId, WorkerReport> unlistedWorkers =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<InstanceId, WorkerReport> eldest) {
-          return size() > MAXIMUM_UNLISTED_WORKERS;
-        }
-      };
-
+  private final WorkerReports workers;
   private final Map<Long, WaveRequest> waves = new HashMap<>();
   private Optional<FleetDeclaration> declaration = Optional.empty();
   private Optional<Listener> listener = Optional.empty();
@@ -113,6 +95,7 @@
   public FleetState(NodeClock clock, Set<DataCentreId> dataCentres) {
     this.clock = clock;
     this.evacuations = new EvacuationRequests(dataCentres);
+    this.workers = new WorkerReports(clock, change -> listener.ifPresent(change));
   }
 
   /** Sets the listener for changes. */
@@ -145,12 +128,12 @@
 
   /** Returns the newest report of each listed worker. */
   public Iterable<WorkerReport> workers() {
-    return workers.values();
+    return workers.listed();
   }
 
   /** Returns the last reports of workers that are no longer listed. */
   public Iterable<WorkerReport> unlistedWorkers() {
-    return unlistedWorkers.values();
+    return workers.unlisted();
   }
 
   /** Returns the waves that operators requested. */
@@ -273,80 +256,12 @@
     declaration = Optional.of(newestDeclaration);
     logger.atInfo().log("event=declaration_in_force version=%d", newestDeclaration.version());
     listener.ifPresent(receiver -> receiver.onDeclarationChanged(newestDeclaration));
+    workers.onDeclared(newestDeclaration);
   }
 
   /** Returns the listener for the topic of workers. */
   public TopicListener workerListener() {
-    return new TopicListener() {
-      @Override
-      public void onSnapshot(List<StoreRecord> records) {
-        Set<String> listed = new HashSet<>();
-        for (StoreRecord record : records) {
-          if (!record.isTombstone()) {
-            listed.add(record.key());
-          }
-          applyWorker(record);
-        }
-        for (InstanceId known : Set.copyOf(workers.keySet())) {
-          if (!listed.contains(known.value())) {
-            removeWorker(known);
-          }
-        }
-      }
-
-      @Override
-      public void onRecord(StoreRecord record) {
-        applyWorker(record);
-      }
-    };
-  }
-
-  private void applyWorker(StoreRecord record) {
-    if (record.isTombstone()) {
-      // No worker is known under a key that is not a valid id.
-      if (Identifiers.isValid(record.key())) {
-        removeWorker(new InstanceId(record.key()));
-      }
-      return;
-    }
-    WorkerReport read;
-    try {
-      read = WorkerReportCodec.read(record.key(), record.value(), clock.steadyMilliseconds());
-    } catch (WireException e) {
-      logUnreadable(record, e);
-      return;
-    }
-    WorkerReport previous = workers.get(read.key().id());
-    WorkerReport report = noteColdReport(read, previous, record.offset()) ? previous : read;
-    workers.put(report.key().id(), report);
-    unlistedWorkers.remove(report.key().id());
-    if (previous != null && report.differsInColdTimeOnly(previous)) {
-      listener.ifPresent(receiver -> receiver.onColdTimeChanged(report));
-    } else if (!report.equals(previous)) {
-      listener.ifPresent(receiver -> receiver.onWorkerListed(report));
-    }
-  }
-
-  /**
-   * Notes the offset of a cold worker's record, and returns whether it is the one read last. The
-   * time that is left to the worker counts from the first time the record was read.
-   */
-  private boolean noteColdReport(WorkerReport read, WorkerReport previous, long offset) {
-    if (read.coldUntil() == WorkerReport.WARM) {
-      coldReportOffsets.remove(read.key().id());
-      return false;
-    }
-    Long offsetBefore = coldReportOffsets.put(read.key().id(), offset);
-    return previous != null && offsetBefore != null && offsetBefore == offset;
-  }
-
-  private void removeWorker(InstanceId worker) {
-    coldReportOffsets.remove(worker);
-    WorkerReport lastReport = workers.remove(worker);
-    if (lastReport != null) {
-      unlistedWorkers.put(worker, lastReport);
-      listener.ifPresent(receiver -> receiver.onWorkerUnlisted(worker));
-    }
+    return workers.listener();
   }
 
   /**
--- a/node/src/test/java/org/flamingochute/node/FleetStateTest.java
+++ b/node/src/test/java/org/flamingochute/node/FleetStateTest.java
@@ -40,7 +40,7 @@
 
   private static final int DEEP_LEVELS = 100_000;
 
-  private final Logger logger = Logger.getLogger(FleetState.class.getName());
+  private final Logger logger = Logger.getLogger(FleetState.class.getPackageName());
   private final List<String> logLines = new ArrayList<>();
   private final FleetState state = new FleetState();
   private final List<String> listed = new ArrayList<>();
