Record the machines whose maintenance is commanded with their wave

Cause: which commands are unanswered was memory of one leader. Its successor waited for 3.6 s and then treated the machine like any other: it did not count against the limit, received tasks, and its token was not raised. The command of the killed leader was executed 5 s after it was sent.

Ruled out: the fence, which keeps the leaders apart for as long as it promises.

Change: WaveProgress.ordered has the machines that are commanded, and is recorded before the command is sent. A later leader counts them, gives them no tasks, and repeats their commands before any other of the wave; the late command then has a lower token or has been executed. A command that was certainly refused is taken out.

Both cases of WaveControllerTest.commandsOfPreviousLeaderCountAndAreRepeatedFirst failed before (m2 and m3 instead of m1 and m2 were commanded). All tests of scheduling and node passed.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveController.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WaveController.java
@@ -23,6 +23,11 @@
  * has confirmed the command with the number of that wave; it also confirms a command that it has
  * executed for a previous leader. Against the limit counts each machine of the wave that is down
  * for any wave.
+ *
+ * <p>A command may be executed long after its leader has ended. So the machines that are commanded
+ * are recorded with the wave before the command is sent. For a later leader they count against the
+ * limit and receive no tasks, and it repeats their commands before it sends others: the platform
+ * then refuses the earlier one, or has executed it.
  */
 final class WaveController {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -41,6 +46,9 @@
   private static final long MAXIMUM_EVACUATION_PAUSE_MILLISECONDS =
       Scheduler.MACHINE_COMMAND_VALIDITY_MILLISECONDS;
 
+  /** Time of a change of a previous leader; every list of machines is newer. */
+  private static final long RESTORED_AT = Long.MIN_VALUE;
+
   private final WorkerRegistry workers;
   private final MachineInventory machines;
   private final MaintenanceOrder order;
@@ -107,12 +115,24 @@
     Wave wave = new Wave(request);
     progress.getMaintainedList().forEach(id -> wave.maintained.add(new MachineId(id)));
     wave.completed = progress.getCompleted();
+    restoreOrdered(wave, progress);
     waves.put(request.number(), wave);
     if (!wave.completed) {
       outbox.sendNow(new SchedulerCommand.ReportWave(request.number(), false));
     }
   }
 
+  /** Takes over the commands of a previous leader, which may still be executed. */
+  private static void restoreOrdered(Wave wave, WaveProgress progress) {
+    for (String id : progress.getOrderedList()) {
+      MachineId machine = new MachineId(id);
+      if (!wave.completed && !wave.maintained.contains(machine)) {
+        wave.setStage(machine, MachineStage.ORDERED, RESTORED_AT);
+        wave.unanswered.add(machine);
+      }
+    }
+  }
+
   /** Returns whether a machine is being evacuated or maintained for a wave. */
   boolean isInProgress(MachineId machine) {
     return waves.values().stream().anyMatch(wave -> wave.stages.containsKey(machine));
@@ -236,6 +256,11 @@
   private void record(Wave wave) {
     WaveProgress.Builder progress = WaveProgress.newBuilder().setCompleted(wave.completed);
     wave.maintained.forEach(id -> progress.addMaintained(id.value()));
+    for (MachineId machine : wave.stages.keySet()) {
+      if (wave.isOrdered(machine)) {
+        progress.addOrdered(machine.value());
+      }
+    }
     outbox.recordWave(wave.request.number(), progress.build());
   }
 
@@ -265,6 +290,7 @@
       return;
     }
     wave.setStage(machine, MachineStage.ORDERED, now);
+    record(wave);
     sendMaintenance(wave, machine, now);
   }
 
@@ -335,6 +361,7 @@
       default -> {
         wave.setStage(machine, MachineStage.EMPTYING, now);
         wave.retryAt.put(machine, now + RETRY_DELAY_MILLISECONDS);
+        record(wave);
       }
     }
   }
--- a/scheduling/src/test/java/org/flamingochute/scheduling/core/WaveControllerTest.java
+++ b/scheduling/src/test/java/org/flamingochute/scheduling/core/WaveControllerTest.java
@@ -13,6 +13,8 @@
 import org.flamingochute.scheduling.fleet.WaveRequest;
 import org.flamingochute.schema.scheduling.WaveProgress;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** A wave over idle machines, at most two of which may be down at once. */
 class WaveControllerTest {
@@ -20,9 +22,13 @@
   private static final List<MachineId> MACHINES =
       List.of(new MachineId("m1"), new MachineId("m2"), new MachineId("m3"), new MachineId("m4"));
 
-  private final Outbox outbox = new Outbox();
   private final MachineInventory machines = new MachineInventory();
-  private final WaveController waves = WaveControllers.create(machines, outbox);
+  private Outbox outbox = new Outbox();
+  private WaveController waves = WaveControllers.create(machines, outbox);
+
+  /** Newest progress that was to be recorded before commands. */
+  private WaveProgress recorded = WaveProgress.getDefaultInstance();
+
   private long now;
 
   private void listMachines(Machine.State first, Machine.State others) {
@@ -38,7 +44,7 @@
     waves.advance(++now);
     waves.advance(++now);
     List<MachineId> orderedMachines = new ArrayList<>();
-    SchedulerBatch batch = outbox.takeBatch();
+    SchedulerBatch batch = takeBatch();
     List<SchedulerCommand> commands = new ArrayList<>(batch.immediateCommands());
     commands.addAll(batch.commandsAfterRecording());
     for (SchedulerCommand command : commands) {
@@ -49,6 +55,20 @@
     return orderedMachines;
   }
 
+  private SchedulerBatch takeBatch() {
+    SchedulerBatch batch = outbox.takeBatch();
+    recorded = batch.waves().getOrDefault(1L, recorded);
+    return batch;
+  }
+
+  /** Begins the term of a leader that has read what was recorded. */
+  private void takeOver() {
+    takeBatch();
+    outbox = new Outbox();
+    waves = WaveControllers.create(machines, outbox);
+    addWave(recorded);
+  }
+
   private void addWave(WaveProgress progress) {
     waves.addWave(new WaveRequest(1, MACHINES, 10_000, LIMIT), progress);
   }
@@ -118,4 +138,41 @@
     addWave(progress.build());
     assertThat(advanceAndTakeCommands().size(), is(0));
   }
+
+  /**
+   * Guards against LIMIT: the leader ends after its commands, which are executed late, while its
+   * successor commands other machines of the wave.
+   */
+  @ParameterizedTest
+  @EnumSource(
+      value = MachineOutcome.class,
+      names = {"UNKNOWN", "DONE"})
+  void commandsOfPreviousLeaderCountAndAreRepeatedFirst(MachineOutcome answer) {
+    listMachines(Machine.State.UP, Machine.State.UP);
+    addWave(WaveProgress.getDefaultInstance());
+    final List<MachineId> first = advanceAndTakeCommands();
+    first.forEach(machine -> waves.onMaintenanceAnswered(1, machine, answer, now));
+    // The first machine is no candidate at present, so a successor would prefer another one.
+    listMachines(Machine.State.DOWN, Machine.State.UP);
+    for (int leader = 0; leader < 2; leader++) {
+      takeOver();
+      assertThat(advanceAndTakeCommands(), is(first));
+      assertThat(advanceAndTakeCommands(), is(List.of()));
+    }
+    first.forEach(machine -> waves.onMaintenanceAnswered(1, machine, MachineOutcome.DONE, now));
+    listMachines(Machine.State.UP, Machine.State.UP);
+    assertThat(advanceAndTakeCommands().size(), is(LIMIT));
+  }
+
+  /** A command that was certainly not executed is no concern of a successor. */
+  @Test
+  void refusedCommandOfPreviousLeaderDoesNotCount() {
+    listMachines(Machine.State.UP, Machine.State.UP);
+    addWave(WaveProgress.getDefaultInstance());
+    for (MachineId machine : advanceAndTakeCommands()) {
+      waves.onMaintenanceAnswered(1, machine, MachineOutcome.THROTTLED, now);
+    }
+    takeOver();
+    assertThat(recorded.getOrderedList(), is(List.of()));
+  }
 }
