Stop an unanswered start at the worker's next incarnation before its task is released

Cause: the response of a later incarnation was taken for proof that a start which was sent to the earlier one, and not answered, is never executed. The worker's host may hand it to the later one.

Ruled out: starts of former leaders (the later incarnation has received this leader's token), starts that were answered, and a wait in place of the stop (how long a start may be on its way is not known).

A confirmation by an incarnation that has been replaced no longer counts. It costs two calls, and up to 0.9 s where the status is a long poll, for each unanswered start at a worker that has started again.

--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/CommandTracker.java
@@ -149,10 +149,12 @@
 
   /** Handles a worker's response to a stop command. */
   void onStopAnswered(SchedulerCommand.StopTask stop, boolean carriedOut, long now) {
-    Optional<Task> found = findCurrentRun(stop.worker(), stop.task(), stop.attempt());
-    if (carriedOut && found.isPresent() && found.get().runState == Task.RunState.STOPPING) {
-      found.get().confirmedAt = now;
-    }
+    // An incarnation that has been replaced says nothing for the one that the run is with now.
+    workers
+        .find(stop.worker())
+        .flatMap(worker -> findCurrentRun(stop.worker(), stop.task(), stop.attempt()))
+        .filter(task -> carriedOut && task.runState == Task.RunState.STOPPING)
+        .ifPresent(task -> task.confirmedAt = now);
   }
 
   /** Handles a worker's response to a pace command. */
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Task.java
@@ -191,6 +191,18 @@
     return attempts;
   }
 
+  /**
+   * Returns whether the start of the current run was sent by this leader and has not been answered.
+   * A worker that has responded to this leader refuses the starts of previous ones.
+   */
+  boolean mayStartLate() {
+    boolean isUnanswered =
+        runState == RunState.SENT
+            || runState == RunState.UNCERTAIN
+            || runState == RunState.STOPPING && confirmedAt != Long.MIN_VALUE;
+    return isAssigned() && isUnanswered && !startConfirmed;
+  }
+
   /** Returns the expected duration of the whole task. */
   long expectedMilliseconds() {
     return occurrence.expectedMilliseconds(id.step());
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/TaskLifecycle.java
@@ -286,6 +286,16 @@
     task.stopReason = Task.StopReason.START_UNANSWERED;
   }
 
+  /** Stops a start of this leader that may still reach a later incarnation of its worker. */
+  void stopLateStart(Task task, long now) {
+    if (task.runState != Task.RunState.STOPPING) {
+      logger.atInfo().log(
+          "event=late_start_stopped task=%s attempt=%d worker=%s",
+          task.id, task.attempt, task.workerKey.map(Object::toString).orElse("-"));
+      stopUncertainRun(task, now);
+    }
+  }
+
   /** Keeps a run whose stop was not confirmed and has become void. */
   void withdrawStop(Task task, long now) {
     task.runState = Task.RunState.RUNNING;
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/WorkerStatusProcessor.java
@@ -62,7 +62,8 @@
       // Its clock and its ends are those of a session that does not exist yet.
       endRunsOfFormerIncarnation(
           workerTracker.onIncarnationObserved(worker, status.startedMilliseconds(), sentAt, now),
-          status);
+          status,
+          now);
       return;
     }
     if (!worker.leaseConfirmed || worker.unreachable) {
@@ -76,17 +77,23 @@
     applyFinishedRuns(worker, status.finished(), now, wallClockMilliseconds);
     boolean allFinishedRunsListed = status.finished().size() < MAXIMUM_LISTED_FINISHED_RUNS;
     applyRunningTasks(worker, status.running(), sentAt, allFinishedRunsListed, now);
-    endRunsOfFormerIncarnation(worker, status);
+    endRunsOfFormerIncarnation(worker, status, now);
   }
 
   /**
-   * Releases the tasks whose starts were prepared for an earlier incarnation than the one that has
-   * responded: that one has ended, and no other executes its starts. A run that is listed all the
-   * same is kept.
+   * Ends the runs whose starts were prepared for an earlier incarnation than the one that has
+   * responded: that one has ended. A start without a response may still be on its way, and whether
+   * it reaches the later incarnation is not known. So the attempt is stopped there first, after
+   * which it is refused. A run that is listed all the same is kept.
    */
-  private void endRunsOfFormerIncarnation(Worker worker, WorkerStatus status) {
+  private void endRunsOfFormerIncarnation(Worker worker, WorkerStatus status, long now) {
     for (Task task : List.copyOf(worker.tasks.values())) {
-      if (task.isOfFormerIncarnation() && !isListed(status, task)) {
+      if (!task.isOfFormerIncarnation() || isListed(status, task)) {
+        continue;
+      }
+      if (task.mayStartLate()) {
+        lifecycle.stopLateStart(task, now);
+      } else {
         lifecycle.releaseWithoutEnd(task, "worker_started_again");
       }
     }
