Start no tasks while the view of the cancellations is old

Callers would see: tasks of a job start more than 3 s after its cancellation was acknowledged (UNASKED).

Cause: a start needs a recent append of the leader's records, which says nothing about what it has read.

Change: no task is placed and no copy started while the newest read that reached the end of INTAKE was sent 2.5 s ago or more. Runs, stops, leases and machine commands go on. placement_paused and placement_resumed are logged.

Evidence: SchedulerDriverTest.tasksAreStartedOnlyIfCancellationsWereReadLately and CancelledJobIntakeTest.noTaskStartsWhilePlacementIsNotAllowed, which need the new methods. The effect in an outage was not played.

--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerDriver.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.decision.identity.MachineId;
 import org.flamingochute.node.ClockReading;
@@ -57,6 +58,14 @@
 
   private static final long APPEND_TIMEOUT_MILLISECONDS = 1_500;
   private static final long REPORT_RETRY_DELAY_MILLISECONDS = 300;
+
+  /**
+   * Age of the view of jobs and cancellations from which no task is started. It is less than the 3
+   * s after which a task of a cancelled job must not start, and more than a read that is lost once
+   * takes until its repetition.
+   */
+  private static final long MAXIMUM_JOBS_AGE_MILLISECONDS = 2_500;
+
   private static final long DELETION_RETRY_DELAY_MILLISECONDS = 500;
 
   private final Eventloop loop;
@@ -70,6 +79,7 @@
   private final ScheduleWriter writer;
   private final Optional<JobStatusPublisher> jobStatusPublisher;
   private final LeaderTerm term;
+  private final LongSupplier jobsAgeMilliseconds;
   private final Runnable termEndedCallback;
 
   private final TermRenewal termRenewal;
@@ -78,6 +88,7 @@
   /** Newest load of the pools that has not been written to SCHEDULE. */
   private Optional<FleetLoad> unrecordedFleetLoad = Optional.empty();
 
+  private boolean cancellationsRecent = true;
   private boolean decisionPending;
   private boolean stopped;
   private boolean releasing;
@@ -89,12 +100,14 @@
    * Creates the driver of a term.
    *
    * @param claimedAt time at which the append that began the term was sent
+   * @param jobsAgeMilliseconds returns the age of this node's view of jobs and cancellations
    */
   SchedulerDriver(
       LeadershipDependencies dependencies,
       LeaderTerm term,
       ClockReading claimedAt,
       Scheduler scheduler,
+      LongSupplier jobsAgeMilliseconds,
       Runnable termEndedCallback) {
     this.loop = dependencies.loop();
     this.clock = dependencies.clock();
@@ -104,6 +117,7 @@
     this.settings = dependencies.settings();
     this.term = term;
     this.scheduler = scheduler;
+    this.jobsAgeMilliseconds = jobsAgeMilliseconds;
     this.termEndedCallback = termEndedCallback;
     this.machineCommandSender =
         dependencies
@@ -260,6 +274,7 @@
       return;
     }
     scheduler.setMachineCommandsAllowed(canCommandMachines());
+    scheduler.setPlacementAllowed(areCancellationsRecent());
     scheduler.decide(clock.steadyMilliseconds(), clock.wallClockMilliseconds());
     updateSessions();
     scheduler.takeImmediateCommands().forEach(this::execute);
@@ -268,6 +283,17 @@
     machineCommandSender.ifPresent(MachineCommandSender::requestMachines);
   }
 
+  /** Returns whether every cancellation is known that was stored some time ago. */
+  boolean areCancellationsRecent() {
+    boolean isRecent = jobsAgeMilliseconds.getAsLong() < MAXIMUM_JOBS_AGE_MILLISECONDS;
+    if (isRecent != cancellationsRecent) {
+      cancellationsRecent = isRecent;
+      logger.atInfo().log(
+          isRecent ? "event=placement_resumed" : "event=placement_paused cause=jobs_not_read");
+    }
+    return isRecent;
+  }
+
   /**
    * Passes a new load of the pools to both topics: small instances read only the statuses, the
    * others only SCHEDULE.
--- a/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
+++ b/node/src/main/java/org/flamingochute/node/leadership/SchedulerLeadership.java
@@ -279,7 +279,13 @@
     state.waves().forEach(request -> scheduler.onWaveRequested(request, progressOf(request)));
     monitor.observe(term, now);
     SchedulerDriver newDriver =
-        new SchedulerDriver(dependencies, term, claimedAt, scheduler, this::onTermEnded);
+        new SchedulerDriver(
+            dependencies,
+            term,
+            claimedAt,
+            scheduler,
+            intakeFollower.orElseThrow()::ageMilliseconds,
+            this::onTermEnded);
     driver = Optional.of(newDriver);
     logger.atInfo().log(
         "event=leadership_taken epoch=%d jobs=%d predecessor=%s",
--- a/node/src/test/java/org/flamingochute/node/CancelledJobIntakeTest.java
+++ b/node/src/test/java/org/flamingochute/node/CancelledJobIntakeTest.java
@@ -219,6 +219,16 @@
     assertThat(startedTasks(), is(empty()));
   }
 
+  /** While the leader's view of the cancellations is old, it starts no task. */
+  @Test
+  void noTaskStartsWhilePlacementIsNotAllowed() {
+    read(definition(JOB, 3));
+    scheduler.setPlacementAllowed(false);
+    assertThat(startedTasks(), is(empty()));
+    scheduler.setPlacementAllowed(true);
+    assertThat(startedTasks().size(), is(TASKS));
+  }
+
   /** Values under the keys of jobs that no node has written start nothing. */
   @ParameterizedTest
   @ValueSource(strings = {"{\"spec\":\"s\"}", "\u0001", "a record of another format", "\n"})
--- a/node/src/test/java/org/flamingochute/node/leadership/SchedulerDriverTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/SchedulerDriverTest.java
@@ -47,6 +47,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests what a leader may still do while it releases its term. */
 class SchedulerDriverTest {
@@ -94,6 +96,10 @@
   }
 
   private SchedulerDriver createDriver(Scheduler scheduler) {
+    return createDriver(scheduler, 0);
+  }
+
+  private SchedulerDriver createDriver(Scheduler scheduler, long jobsAgeMilliseconds) {
     LeadershipDependencies dependencies =
         new LeadershipDependencies(
             loop,
@@ -106,7 +112,8 @@
             "node-0",
             0);
     LeaderTerm term = LeaderTerm.newBuilder().setEpoch(1).setInstance("node-0/1").build();
-    return new SchedulerDriver(dependencies, term, clock.read(), scheduler, () -> {});
+    return new SchedulerDriver(
+        dependencies, term, clock.read(), scheduler, () -> jobsAgeMilliseconds, () -> {});
   }
 
   /**
@@ -217,4 +224,20 @@
     server.stop(0);
     assertThat(stopped, is("/run-stop"));
   }
+
+  /**
+   * Guards against UNASKED: a leader whose reads of the cancellations fail starts tasks of a job
+   * that was cancelled more than 3 s before.
+   */
+  @ParameterizedTest
+  @CsvSource({"0, true", "2499, true", "2500, false", "9223372036854775807, false"})
+  void tasksAreStartedOnlyIfCancellationsWereReadLately(long ageMilliseconds, boolean allowed)
+      throws Exception {
+    CompletableFuture<Boolean> recent = new CompletableFuture<>();
+    loop.execute(
+        () ->
+            recent.complete(
+                createDriver(createScheduler(), ageMilliseconds).areCancellationsRecent()));
+    assertThat(recent.get(AWAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS), is(allowed));
+  }
 }
--- a/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
+++ b/scheduling/src/main/java/org/flamingochute/scheduling/core/Scheduler.java
@@ -76,6 +76,7 @@
   private final DataCentreEvacuation dataCentreEvacuation;
   private FleetDeclaration declaration;
   private boolean machineCommandsAllowed = true;
+  private boolean placementAllowed = true;
 
   /**
    * Creates a scheduler without jobs.
@@ -413,6 +414,14 @@
     poolPlanner.onMoveAnswered(command.machine(), outcome);
   }
 
+  /**
+   * Sets whether tasks may be placed: only while the view of the cancellations is recent. Tasks
+   * that run are not affected.
+   */
+  public void setPlacementAllowed(boolean allowed) {
+    placementAllowed = allowed;
+  }
+
   /** Allows or forbids machine commands, depending on the age of the last successful append. */
   public void setMachineCommandsAllowed(boolean allowed) {
     machineCommandsAllowed = allowed;
@@ -433,8 +442,10 @@
     }
     uncordonWorkers();
     commandMachines(now, wallClockMilliseconds);
-    taskPlacer.placeTasks(declaration, now, wallClockMilliseconds);
-    if (settings.features().speculativeCopies()) {
+    if (placementAllowed) {
+      taskPlacer.placeTasks(declaration, now, wallClockMilliseconds);
+    }
+    if (placementAllowed && settings.features().speculativeCopies()) {
       copyStarter.startCopies(declaration, now, wallClockMilliseconds);
     }
     passedOverTaskLog.update(declaration, now, wallClockMilliseconds);
