Share the stand-in platform and the manual clock among the node's tests

Eight tests of the node each started the platform stand-in, an event loop and a client in the same lines, and two had the same clock that stands still. PlatformFixture and ManualClock replace them; no check has changed.

--- a/node/src/test/java/org/flamingochute/node/DeletedJobReloadTest.java
+++ b/node/src/test/java/org/flamingochute/node/DeletedJobReloadTest.java
@@ -21,13 +21,6 @@
 import org.flamingochute.node.store.ScheduleKeys;
 import org.flamingochute.node.store.StoreFollower;
 import org.flamingochute.node.store.TopicListener;
-import org.flamingochute.platform.http.EventLoopGroup;
-import org.flamingochute.platform.http.ExchangeClient;
-import org.flamingochute.platform.http.ExchangeLimits;
-import org.flamingochute.platform.http.ExchangeListener;
-import org.flamingochute.platform.http.NumericAddress;
-import org.flamingochute.platform.standin.FleetSettings;
-import org.flamingochute.platform.standin.PlatformServer;
 import org.flamingochute.platform.wire.KeyedValue;
 import org.flamingochute.platform.wire.StoreClient;
 import org.flamingochute.platform.wire.StoreRecord;
@@ -35,7 +28,6 @@
 import org.flamingochute.scheduling.job.StoredJob;
 import org.flamingochute.schema.scheduling.QueuedJob;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Tests which jobs a node knows after it has read a trimmed topic again. */
@@ -49,14 +41,11 @@
   private static final JobId OPEN = new JobId("00000000000000a2");
   private static final QueuedJob DEFINITION = QueuedJob.newBuilder().setQueue("q").build();
 
-  private final EventLoopGroup group = EventLoopGroup.start("reload", 1);
-  private final ExchangeClient exchanges =
-      new ExchangeClient(group, ExchangeLimits.builder().build(), ExchangeListener.NONE);
-  private final Eventloop loop = group.next();
+  private final PlatformFixture fixture = new PlatformFixture("reload");
+  private final Eventloop loop = fixture.loop();
   private final FleetState state = new FleetState();
   private final CountDownLatch loads = new CountDownLatch(2);
-  private PlatformServer platform;
-  private StoreClient store;
+  private final StoreClient store = fixture.store();
 
   /** Counts the snapshots that the state has applied. */
   private final class CountingListener implements TopicListener {
@@ -79,20 +68,9 @@
     }
   }
 
-  @BeforeEach
-  void startPlatform() throws Exception {
-    platform =
-        PlatformServer.start(
-            FleetSettings.withShortDurations(List.of(new FleetSettings.PoolSize("p", 1))),
-            "127.0.0.1:0");
-    store = new StoreClient(exchanges, NumericAddress.parse(platform.address()).orElseThrow());
-  }
-
   @AfterEach
   void close() {
-    exchanges.close();
-    group.close();
-    platform.close();
+    fixture.close();
   }
 
   private void append(KeyedValue... records) throws Exception {
@@ -113,7 +91,7 @@
   private void trimIntake() throws Exception {
     String path = "/log-trim?topic=keyed.intake&part=0&before=1000";
     HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://" + platform.address() + path))
+        HttpRequest.newBuilder(URI.create("http://" + fixture.platform().address() + path))
             .POST(HttpRequest.BodyPublishers.noBody())
             .build();
     HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.discarding());
--- a/node/src/test/java/org/flamingochute/node/front/JobRefusalTest.java
+++ b/node/src/test/java/org/flamingochute/node/front/JobRefusalTest.java
@@ -126,7 +126,7 @@
     String body = "";
     while (!body.contains("the store does not answer")) {
       // Less than the time after which a call probes the store again.
-      fixture.advance(400);
+      fixture.clock().advance(400);
       calls++;
       body = fixture.submit(servlet, new JobId("%016x".formatted(calls)), 151).body();
     }
--- a/node/src/test/java/org/flamingochute/node/front/JobServletFixture.java
+++ b/node/src/test/java/org/flamingochute/node/front/JobServletFixture.java
@@ -21,23 +21,16 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.node.FleetState;
 import org.flamingochute.node.LoadShedding;
-import org.flamingochute.node.NodeClock;
+import org.flamingochute.node.ManualClock;
 import org.flamingochute.node.NodeMetrics;
+import org.flamingochute.node.PlatformFixture;
 import org.flamingochute.node.store.IntakeWriter;
 import org.flamingochute.node.store.ScheduleKeys;
 import org.flamingochute.node.store.StoreFollower;
 import org.flamingochute.node.store.TopicListener;
-import org.flamingochute.platform.http.EventLoopGroup;
-import org.flamingochute.platform.http.ExchangeClient;
-import org.flamingochute.platform.http.ExchangeLimits;
-import org.flamingochute.platform.http.ExchangeListener;
-import org.flamingochute.platform.http.NumericAddress;
-import org.flamingochute.platform.standin.FleetSettings;
-import org.flamingochute.platform.standin.PlatformServer;
 import org.flamingochute.platform.wire.KeyedValue;
 import org.flamingochute.platform.wire.StoreClient;
 import org.flamingochute.platform.wire.StorePageOutcome;
@@ -64,42 +57,21 @@
       "tenants":[{"name":"t","api_keys":["k"],"weight":1}]}
       """;
 
-  private final AtomicLong now = new AtomicLong(1_000_000);
-
   /** Stands still unless a test moves it, so that nothing becomes old. */
-  private final NodeClock clock =
-      new NodeClock() {
-        @Override
-        public long steadyMilliseconds() {
-          return now.get();
-        }
-
-        @Override
-        public long wallClockMilliseconds() {
-          return now.get();
-        }
-      };
-
-  private final EventLoopGroup group = EventLoopGroup.start("servlet", 1);
-  private final ExchangeClient exchanges =
-      new ExchangeClient(group, ExchangeLimits.builder().build(), ExchangeListener.NONE);
-  private final Eventloop loop = group.next();
+  private final ManualClock clock = new ManualClock();
+
+  private final PlatformFixture fixture = new PlatformFixture("servlet");
+  private final Eventloop loop = fixture.loop();
   private final FleetState state = new FleetState();
   private final LoadShedding shedding = new LoadShedding(clock, state);
   private final HttpClient caller = HttpClient.newHttpClient();
   private final CountDownLatch loaded = new CountDownLatch(1);
-  private final PlatformServer platform;
   private final ServerSocket silentServer;
-  private final StoreClient store;
+  private final StoreClient store = fixture.store();
   private final StoreFollower intake;
 
   /** Starts the platform and declares one queue. */
   JobServletFixture() throws Exception {
-    platform =
-        PlatformServer.start(
-            FleetSettings.withShortDurations(List.of(new FleetSettings.PoolSize("p", 1))),
-            "127.0.0.1:0");
-    store = storeAt(platform.address());
     silentServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     intake = follower(StoreTopic.INTAKE, state.intakeListener());
     byte[] declaration = DECLARATION.getBytes(StandardCharsets.UTF_8);
@@ -114,15 +86,10 @@
     return loop;
   }
 
-  NodeClock clock() {
+  ManualClock clock() {
     return clock;
   }
 
-  /** Moves the clock forward. */
-  void advance(long milliseconds) {
-    now.addAndGet(milliseconds);
-  }
-
   FleetState state() {
     return state;
   }
@@ -136,11 +103,7 @@
   }
 
   StoreClient silentStore() {
-    return storeAt("127.0.0.1:" + silentServer.getLocalPort());
-  }
-
-  private StoreClient storeAt(String address) {
-    return new StoreClient(exchanges, NumericAddress.parse(address).orElseThrow());
+    return fixture.storeAt("127.0.0.1:" + silentServer.getLocalPort());
   }
 
   private StoreFollower follower(StoreTopic topic, TopicListener delivered) {
@@ -170,9 +133,7 @@
 
   @Override
   public void close() throws Exception {
-    exchanges.close();
-    group.close();
-    platform.close();
+    fixture.close();
     silentServer.close();
   }
 
--- a/node/src/test/java/org/flamingochute/node/leadership/CancellationExpiryTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/CancellationExpiryTest.java
@@ -11,21 +11,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.node.FleetState;
-import org.flamingochute.node.NodeClock;
+import org.flamingochute.node.ManualClock;
+import org.flamingochute.node.PlatformFixture;
 import org.flamingochute.node.store.ScheduleKeys;
 import org.flamingochute.node.store.StoreFollower;
 import org.flamingochute.node.store.TopicListener;
-import org.flamingochute.platform.http.EventLoopGroup;
-import org.flamingochute.platform.http.ExchangeClient;
-import org.flamingochute.platform.http.ExchangeLimits;
-import org.flamingochute.platform.http.ExchangeListener;
-import org.flamingochute.platform.http.NumericAddress;
-import org.flamingochute.platform.standin.FleetSettings;
-import org.flamingochute.platform.standin.PlatformServer;
 import org.flamingochute.platform.wire.KeyedValue;
 import org.flamingochute.platform.wire.StoreClient;
 import org.flamingochute.platform.wire.StorePageOutcome;
@@ -33,7 +26,6 @@
 import org.flamingochute.platform.wire.StoreTopic;
 import org.flamingochute.schema.scheduling.QueuedJob;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -52,37 +44,16 @@
       new KeyedValue(
           ScheduleKeys.job(JOB), QueuedJob.newBuilder().setQueue("q").build().toByteArray());
 
-  private final AtomicLong now = new AtomicLong(1_000_000);
-  private final NodeClock clock =
-      new NodeClock() {
-        @Override
-        public long steadyMilliseconds() {
-          return now.get();
-        }
-      };
+  private final ManualClock clock = new ManualClock();
 
-  private final EventLoopGroup group = EventLoopGroup.start("expiry", 1);
-  private final ExchangeClient exchanges =
-      new ExchangeClient(group, ExchangeLimits.builder().build(), ExchangeListener.NONE);
-  private final Eventloop loop = group.next();
+  private final PlatformFixture fixture = new PlatformFixture("expiry");
+  private final Eventloop loop = fixture.loop();
   private final FleetState state = new FleetState(clock, Set.of());
-  private PlatformServer platform;
-  private StoreClient store;
-
-  @BeforeEach
-  void startPlatform() throws Exception {
-    platform =
-        PlatformServer.start(
-            FleetSettings.withShortDurations(List.of(new FleetSettings.PoolSize("p", 1))),
-            "127.0.0.1:0");
-    store = new StoreClient(exchanges, NumericAddress.parse(platform.address()).orElseThrow());
-  }
+  private final StoreClient store = fixture.store();
 
   @AfterEach
   void close() {
-    exchanges.close();
-    group.close();
-    platform.close();
+    fixture.close();
   }
 
   private void append(KeyedValue record) throws Exception {
@@ -146,10 +117,10 @@
     append(CANCELLATION);
     StoreFollower follower = loadedFollower();
     CancellationExpiry expiry = createExpiry();
-    now.addAndGet(RETENTION_MILLISECONDS - 1);
+    clock.advance(RETENTION_MILLISECONDS - 1);
     assertThat(onLoop(() -> expiry.deleteExpired(follower)), is(0));
     assertThat(storedKeys(), is(List.of(CANCELLATION.key())));
-    now.addAndGet(RETENTION_MILLISECONDS);
+    clock.advance(RETENTION_MILLISECONDS);
     assertThat(onLoop(() -> expiry.deleteExpired(follower)), is(1));
     assertThat(storedKeys(), is(List.of()));
     onLoop(follower::refresh);
@@ -162,12 +133,12 @@
   void cancellationIsKeptIfItsJobHasBeenStored() throws Exception {
     append(CANCELLATION);
     StoreFollower follower = loadedFollower();
-    now.addAndGet(RETENTION_MILLISECONDS);
+    clock.advance(RETENTION_MILLISECONDS);
     append(DEFINITION);
     CancellationExpiry expiry = createExpiry();
     assertThat(onLoop(() -> expiry.deleteExpired(follower)), is(0));
     onLoop(follower::refresh);
-    now.addAndGet(RETENTION_MILLISECONDS);
+    clock.advance(RETENTION_MILLISECONDS);
     assertThat(onLoop(() -> expiry.deleteExpired(follower)), is(0));
     assertThat(storedKeys(), is(List.of(CANCELLATION.key(), DEFINITION.key())));
   }
@@ -177,13 +148,13 @@
   void repeatedCancellationIsKeptForItsOwnRetention() throws Exception {
     append(CANCELLATION);
     StoreFollower follower = loadedFollower();
-    now.addAndGet(RETENTION_MILLISECONDS - 1);
+    clock.advance(RETENTION_MILLISECONDS - 1);
     append(CANCELLATION);
     onLoop(follower::refresh);
-    now.addAndGet(1);
+    clock.advance(1);
     CancellationExpiry expiry = createExpiry();
     assertThat(onLoop(() -> expiry.deleteExpired(follower)), is(0));
-    now.addAndGet(RETENTION_MILLISECONDS);
+    clock.advance(RETENTION_MILLISECONDS);
     assertThat(onLoop(() -> expiry.deleteExpired(follower)), is(1));
   }
 }
--- a/node/src/test/java/org/flamingochute/node/leadership/LeadershipClaimTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/LeadershipClaimTest.java
@@ -4,22 +4,15 @@
 import static org.hamcrest.Matchers.is;
 
 import io.activej.eventloop.Eventloop;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.flamingochute.node.ClockReading;
 import org.flamingochute.node.FleetState;
 import org.flamingochute.node.NodeClock;
+import org.flamingochute.node.PlatformFixture;
 import org.flamingochute.node.store.ScheduleKeys;
 import org.flamingochute.node.store.StoreFollower;
-import org.flamingochute.platform.http.EventLoopGroup;
-import org.flamingochute.platform.http.ExchangeClient;
-import org.flamingochute.platform.http.ExchangeLimits;
-import org.flamingochute.platform.http.ExchangeListener;
-import org.flamingochute.platform.http.NumericAddress;
-import org.flamingochute.platform.standin.FleetSettings;
-import org.flamingochute.platform.standin.PlatformServer;
 import org.flamingochute.platform.wire.StoreClient;
 import org.flamingochute.platform.wire.StorePageOutcome;
 import org.flamingochute.platform.wire.StoreRecord;
@@ -31,7 +24,6 @@
 import org.flamingochute.scheduling.leadership.LeaderMonitor;
 import org.flamingochute.schema.scheduling.LeaderTerm;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -42,14 +34,11 @@
   private static final long LONG_POLL_MILLISECONDS = 100;
   private static final LeaderCandidate CANDIDATE = new LeaderCandidate("node-0", 1);
 
-  private final EventLoopGroup group = EventLoopGroup.start("claim", 1);
-  private final ExchangeClient exchanges =
-      new ExchangeClient(group, ExchangeLimits.builder().build(), ExchangeListener.NONE);
-  private final Eventloop loop = group.next();
+  private final PlatformFixture fixture = new PlatformFixture("claim");
+  private final Eventloop loop = fixture.loop();
   private final NodeClock clock = new NodeClock();
   private final CompletableFuture<Boolean> won = new CompletableFuture<>();
-  private PlatformServer platform;
-  private StoreClient store;
+  private final StoreClient store = fixture.store();
 
   /** Completes the test's future with the outcome. */
   private final class OutcomeListener implements LeadershipClaim.Listener {
@@ -64,20 +53,9 @@
     }
   }
 
-  @BeforeEach
-  void startPlatform() throws Exception {
-    platform =
-        PlatformServer.start(
-            FleetSettings.withShortDurations(List.of(new FleetSettings.PoolSize("p", 1))),
-            "127.0.0.1:0");
-    store = new StoreClient(exchanges, NumericAddress.parse(platform.address()).orElseThrow());
-  }
-
   @AfterEach
   void close() {
-    exchanges.close();
-    group.close();
-    platform.close();
+    fixture.close();
   }
 
   private LeadershipClaim createClaim(boolean earlierLeases) {
@@ -86,7 +64,7 @@
             loop,
             clock,
             store,
-            new WorkerClient(exchanges),
+            new WorkerClient(fixture.exchanges()),
             Optional.empty(),
             new JobTable(),
             SchedulerSettings.builder().build(),
--- a/node/src/test/java/org/flamingochute/node/leadership/SchedulerDriverTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/SchedulerDriverTest.java
@@ -18,13 +18,7 @@
 import org.flamingochute.decision.identity.PoolId;
 import org.flamingochute.decision.placement.ResourceVector;
 import org.flamingochute.node.NodeClock;
-import org.flamingochute.platform.http.EventLoopGroup;
-import org.flamingochute.platform.http.ExchangeClient;
-import org.flamingochute.platform.http.ExchangeLimits;
-import org.flamingochute.platform.http.ExchangeListener;
-import org.flamingochute.platform.http.NumericAddress;
-import org.flamingochute.platform.standin.FleetSettings;
-import org.flamingochute.platform.standin.PlatformServer;
+import org.flamingochute.node.PlatformFixture;
 import org.flamingochute.platform.wire.StoreClient;
 import org.flamingochute.platform.wire.StorePageOutcome;
 import org.flamingochute.platform.wire.StoreTopic;
@@ -45,7 +39,6 @@
 import org.flamingochute.schema.scheduling.QueuedStep;
 import org.flamingochute.schema.scheduling.TaskProgress;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -62,28 +55,14 @@
   /** No call to this worker can be sent, so each attempt throws an exception. */
   private static final WorkerReport UNCALLABLE = workerAt("uncallable", "nowhere");
 
-  private final EventLoopGroup group = EventLoopGroup.start("driver", 1);
-  private final ExchangeClient exchanges =
-      new ExchangeClient(group, ExchangeLimits.builder().build(), ExchangeListener.NONE);
-  private final Eventloop loop = group.next();
+  private final PlatformFixture fixture = new PlatformFixture("driver");
+  private final Eventloop loop = fixture.loop();
   private final NodeClock clock = new NodeClock();
-  private PlatformServer platform;
-  private StoreClient store;
-
-  @BeforeEach
-  void startPlatform() throws Exception {
-    platform =
-        PlatformServer.start(
-            FleetSettings.withShortDurations(List.of(new FleetSettings.PoolSize("p", 1))),
-            "127.0.0.1:0");
-    store = new StoreClient(exchanges, NumericAddress.parse(platform.address()).orElseThrow());
-  }
+  private final StoreClient store = fixture.store();
 
   @AfterEach
   void close() {
-    exchanges.close();
-    group.close();
-    platform.close();
+    fixture.close();
   }
 
   private Scheduler createScheduler() {
@@ -105,7 +84,7 @@
             loop,
             clock,
             store,
-            new WorkerClient(exchanges),
+            new WorkerClient(fixture.exchanges()),
             Optional.empty(),
             new JobTable(),
             SETTINGS,
--- a/node/src/test/java/org/flamingochute/node/leadership/UnreadableScheduleRecordTest.java
+++ b/node/src/test/java/org/flamingochute/node/leadership/UnreadableScheduleRecordTest.java
@@ -13,16 +13,10 @@
 import org.flamingochute.decision.identity.JobId;
 import org.flamingochute.node.FleetState;
 import org.flamingochute.node.NodeClock;
+import org.flamingochute.node.PlatformFixture;
 import org.flamingochute.node.store.ScheduleKeys;
 import org.flamingochute.node.store.StoreFollower;
 import org.flamingochute.node.store.TopicListener;
-import org.flamingochute.platform.http.EventLoopGroup;
-import org.flamingochute.platform.http.ExchangeClient;
-import org.flamingochute.platform.http.ExchangeLimits;
-import org.flamingochute.platform.http.ExchangeListener;
-import org.flamingochute.platform.http.NumericAddress;
-import org.flamingochute.platform.standin.FleetSettings;
-import org.flamingochute.platform.standin.PlatformServer;
 import org.flamingochute.platform.wire.KeyedValue;
 import org.flamingochute.platform.wire.StoreClient;
 import org.flamingochute.platform.wire.StorePageOutcome;
@@ -66,23 +60,15 @@
   private static final String DECLARATION =
       "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"p\"}],\"tenants\":[]}";
 
-  private final EventLoopGroup group = EventLoopGroup.start("records", 1);
-  private final ExchangeClient exchanges =
-      new ExchangeClient(group, ExchangeLimits.builder().build(), ExchangeListener.NONE);
-  private final Eventloop loop = group.next();
+  private final PlatformFixture fixture = new PlatformFixture("records");
+  private final Eventloop loop = fixture.loop();
   private final NodeClock clock = new NodeClock();
   private final FleetState state = new FleetState();
   private final CompletableFuture<Boolean> leads = new CompletableFuture<>();
-  private PlatformServer platform;
-  private StoreClient store;
+  private final StoreClient store = fixture.store();
 
   @BeforeEach
   void start() throws Exception {
-    platform =
-        PlatformServer.start(
-            FleetSettings.withShortDurations(List.of(new FleetSettings.PoolSize("p", 1))),
-            "127.0.0.1:0");
-    store = new StoreClient(exchanges, NumericAddress.parse(platform.address()).orElseThrow());
     state
         .declarationListener()
         .onRecord(
@@ -95,9 +81,7 @@
 
   @AfterEach
   void close() {
-    exchanges.close();
-    group.close();
-    platform.close();
+    fixture.close();
   }
 
   private void store(StoreTopic topic, String key, byte[] value) throws Exception {
@@ -130,7 +114,7 @@
                 loop,
                 clock,
                 store,
-                new WorkerClient(exchanges),
+                new WorkerClient(fixture.exchanges()),
                 Optional.empty(),
                 state.jobs(),
                 SchedulerSettings.builder().build(),
--- a/node/src/test/java/org/flamingochute/node/store/IntakeWriterTest.java
+++ b/node/src/test/java/org/flamingochute/node/store/IntakeWriterTest.java
@@ -8,17 +8,10 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.flamingochute.node.NodeClock;
-import org.flamingochute.platform.http.EventLoopGroup;
-import org.flamingochute.platform.http.ExchangeClient;
-import org.flamingochute.platform.http.ExchangeLimits;
-import org.flamingochute.platform.http.ExchangeListener;
-import org.flamingochute.platform.http.NumericAddress;
-import org.flamingochute.platform.standin.FleetSettings;
-import org.flamingochute.platform.standin.PlatformServer;
+import org.flamingochute.node.PlatformFixture;
 import org.flamingochute.platform.wire.KeyedValue;
 import org.flamingochute.platform.wire.StoreClient;
 import org.junit.jupiter.api.AfterEach;
@@ -32,34 +25,25 @@
   /** Shorter than the timeout of a call to the store, which is 800 ms. */
   private static final long SHORT_TIMEOUT_MILLISECONDS = 200;
 
-  private final EventLoopGroup group = EventLoopGroup.start("intake", 1);
-  private final ExchangeClient exchanges =
-      new ExchangeClient(group, ExchangeLimits.builder().build(), ExchangeListener.NONE);
-  private final Eventloop loop = group.next();
-  private PlatformServer platform;
+  private final PlatformFixture fixture = new PlatformFixture("intake");
+  private final Eventloop loop = fixture.loop();
   private IntakeWriter writer;
 
   @BeforeEach
   void startPlatform() throws Exception {
-    platform =
-        PlatformServer.start(
-            FleetSettings.withShortDurations(List.of(new FleetSettings.PoolSize("p", 1))),
-            "127.0.0.1:0");
-    StoreClient store =
-        new StoreClient(exchanges, NumericAddress.parse(platform.address()).orElseThrow());
+    StoreClient store = fixture.store();
     writer = new IntakeWriter(loop, new NodeClock(), store);
   }
 
   @AfterEach
   void close() {
-    exchanges.close();
-    group.close();
-    platform.close();
+    fixture.close();
   }
 
   private void setStoreFault(String fault) throws Exception {
     HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://" + platform.address() + "/fault?store=" + fault))
+        HttpRequest.newBuilder(
+                URI.create("http://" + fixture.platform().address() + "/fault?store=" + fault))
             .POST(HttpRequest.BodyPublishers.noBody())
             .build();
     HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.discarding());
