Show the successor's log if the takeover test fails

NodeProcessTest.successorReadsJobsBeforeItSendsCommands is listed as known red: more starts than 7 beside load, not traced. Its check is unchanged; it now prints the log that says why runs ended.

--- a/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeProcessTest.java
+++ b/testsuite/src/test/java/org/flamingochute/testsuite/node/NodeProcessTest.java
@@ -143,7 +143,11 @@
       Thread.sleep(1_500);
       cluster.post("/fault?store=NONE", "");
       cluster.waitForState(other, JOB, "completed");
-      assertThat(cluster.get("/ledger"), containsString("\"starts\":7,\"doubled\":0"));
+      // With the successor's log, since the reason for more starts is in it.
+      assertThat(
+          cluster.readLog(other),
+          cluster.get("/ledger"),
+          containsString("\"starts\":7,\"doubled\":0"));
     }
   }
 
