--- a/node/src/test/java/org/flamingochute/node/front/UnknownJobCancellationTest.java
+++ b/node/src/test/java/org/flamingochute/node/front/UnknownJobCancellationTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
+import java.net.http.HttpResponse;
 import java.util.List;
 import java.util.Optional;
 import org.flamingochute.decision.identity.JobId;
@@ -18,6 +19,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -89,4 +91,24 @@
   void cancellationThatMayNotBeStoredIsNotAcknowledged(long timeoutMilliseconds) throws Exception {
     assertThat(call("DELETE", fixture.silentStore(), JOB, timeoutMilliseconds), is(504));
   }
+
+  /** Callers that cancel jobs that do not exist must not fill the store. */
+  @ParameterizedTest
+  @CsvSource({"19999, 410", "20000, 503"})
+  void cancellationsOfUnknownJobsAreLimited(int earlierCancellations, int status) throws Exception {
+    fixture
+        .loop()
+        .execute(
+            () -> {
+              for (int i = 0; i < earlierCancellations; i++) {
+                fixture.state().applyCancellation(new JobId("%016x".formatted(0xb0000 + i)));
+              }
+            });
+    JobServlet servlet = fixture.servletWith(fixture.store(), Optional.empty());
+    HttpResponse<String> response = fixture.call("DELETE", servlet, JOB, TIMEOUT_MILLISECONDS);
+    assertThat(response.statusCode(), is(status));
+    assertThat(
+        response.headers().firstValue("Retry-After").orElse(""), is(status == 503 ? "10" : ""));
+    assertThat(fixture.storedKeys().contains(ScheduleKeys.cancellation(JOB)), is(status == 410));
+  }
 }
